--- /dev/null
+++ b/sequoiacrank-config/src/edge.rs
@@ -0,0 +1,148 @@
+//! Settings of a host on the event-loop data path.
+
+use std::net;
+use std::time;
+
+use crate::problem;
+use crate::read;
+use crate::tree;
+
+/// All settings of such a host.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Its name.
+    pub host: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Its region.
+    pub region: String,
+    /// Address for callers.
+    pub listen: net::SocketAddr,
+    /// Address that the balancer asks for readiness.
+    pub readiness: net::SocketAddr,
+    /// Address for other hosts.
+    pub peer: net::SocketAddr,
+    /// Address that shows metrics.
+    pub metrics: net::SocketAddr,
+    /// Addresses of a few other hosts, which may be stale.
+    pub seeds: Vec<net::SocketAddr>,
+    /// Address of the platform's store.
+    pub store: net::SocketAddr,
+    /// Memory that the process may use, in megabytes.
+    pub memory: u32,
+    /// Time from SIGTERM to SIGKILL.
+    pub grace: time::Duration,
+    /// Time for which an endpoint serves on after it said that it leaves.
+    pub drain: time::Duration,
+    /// Time between two registrations of an endpoint.
+    pub heartbeat: time::Duration,
+    /// Requests that are sent once more; all hosts together.
+    pub retries: Retries,
+    /// Requests that a cold endpoint gets; all hosts together.
+    pub cold: Cold,
+}
+
+/// Bound on requests that are sent once more.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Retries {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats beyond that.
+    pub slack: f64,
+    /// Span over which they are counted.
+    pub span: time::Duration,
+}
+
+/// Bound on requests that a cold endpoint gets in a second.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Cold {
+    /// Multiple of the rate that the endpoint bears.
+    pub overshoot: f64,
+    /// Requests beyond that.
+    pub slack: f64,
+}
+
+/// Decimal seconds or milliseconds, such as "6.7s" or "250ms".
+struct Span(time::Duration);
+
+impl read::Decode for Span {
+    fn decode(node: &tree::Node, sink: &mut read::Sink) -> Option<Self> {
+        read::text_as(node, sink, "a time such as \"250ms\" or \"6.7s\"", |text| {
+            let (number, unit) = match text.strip_suffix("ms") {
+                Some(number) => (number, 0.001),
+                None => (text.strip_suffix('s')?, 1.0),
+            };
+            let seconds = number.trim().parse::<f64>().ok()? * unit;
+            time::Duration::try_from_secs_f64(seconds).ok().map(Span)
+        })
+    }
+}
+
+impl read::Decode for Retries {
+    fn decode(node: &tree::Node, sink: &mut read::Sink) -> Option<Self> {
+        let mut fields = read::Reader::new(node, sink)?;
+        // Without a bound in force the same cautious one holds as on a platform that sets it.
+        let ratio = fields.or("ratio", 0.2);
+        let slack = fields.or("slack", 20.0);
+        let span = fields.or("span", Span(time::Duration::from_secs(10)));
+        fields.done();
+        Some(Retries { ratio: ratio?, slack: slack?, span: span?.0 })
+    }
+}
+
+impl read::Decode for Cold {
+    fn decode(node: &tree::Node, sink: &mut read::Sink) -> Option<Self> {
+        let mut fields = read::Reader::new(node, sink)?;
+        let overshoot = fields.or("overshoot", 1.0);
+        let slack = fields.or("slack", 0.0);
+        fields.done();
+        Some(Cold { overshoot: overshoot?, slack: slack? })
+    }
+}
+
+impl read::Decode for Settings {
+    fn decode(node: &tree::Node, sink: &mut read::Sink) -> Option<Self> {
+        let mut fields = read::Reader::new(node, sink)?;
+        let host = fields.need("host");
+        let zone = fields.need("zone");
+        let region = fields.need("region");
+        let listen = fields.need("listen");
+        let readiness = fields.need("readiness");
+        let peer = fields.need("peer");
+        let metrics = fields.need("metrics");
+        let seeds = fields.or("seeds", Vec::new());
+        let store = fields.need("store");
+        let memory = fields.need("memory_mb");
+        let grace = fields.need::<Span>("grace");
+        let drain = fields.need::<Span>("drain");
+        let heartbeat = fields.need::<Span>("heartbeat");
+        let retries = fields.need("retries");
+        let cold = fields.need("cold");
+        fields.done();
+        Some(Settings {
+            host: host?,
+            zone: zone?,
+            region: region?,
+            listen: listen?,
+            readiness: readiness?,
+            peer: peer?,
+            metrics: metrics?,
+            seeds: seeds?,
+            store: store?,
+            memory: memory?,
+            grace: grace?.0,
+            drain: drain?.0,
+            heartbeat: heartbeat?.0,
+            retries: retries?,
+            cold: cold?,
+        })
+    }
+}
+
+/// Reads settings; on errors returns every problem with file and line.
+pub fn parse(file: &str, text: &str) -> Result<Settings, Vec<problem::Problem>> {
+    let node = tree::parse(file, text).map_err(|problem| vec![problem])?;
+    let mut sink = read::Sink::default();
+    let settings = <Settings as read::Decode>::decode(&node, &mut sink);
+    sink.finish(settings)
+}
--- a/sequoiacrank-config/src/lib.rs
+++ b/sequoiacrank-config/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod declare;
 pub mod diff;
+pub mod edge;
 pub mod problem;
 pub mod read;
 pub mod settings;
--- a/sequoiacrank-config/src/read.rs
+++ b/sequoiacrank-config/src/read.rs
@@ -96,6 +96,17 @@
     }
 }
 
+impl Decode for f64 {
+    fn decode(node: &tree::Node, sink: &mut Sink) -> Option<Self> {
+        match &node.value {
+            tree::Value::Number(number) => {
+                number.parse().ok().or_else(|| sink.wrong(node, "a number"))
+            }
+            _ => sink.wrong(node, "a number"),
+        }
+    }
+}
+
 impl Decode for time::Duration {
     fn decode(node: &tree::Node, sink: &mut Sink) -> Option<Self> {
         text_as(node, sink, "a duration such as \"250ms\", \"12s\" or \"1h\"", |text| {
--- /dev/null
+++ b/sequoiacrank-edge/src/batcher.rs
@@ -0,0 +1,241 @@
+//! Carries out what the board of stage work decides: calls, answers to those who asked, and frees.
+
+use std::cell;
+use std::net;
+use std::rc;
+use std::time;
+
+use sequoiacrank_adapter::stage as wire_stage;
+use sequoiacrank_kernel::edge::stage;
+use sequoiacrank_kernel::id;
+use sequoiacrank_kernel::map;
+use tokio::sync::Notify;
+use tokio::sync::oneshot;
+use tokio::task;
+
+use crate::client;
+use crate::host;
+use crate::peer::wire;
+
+/// Time within which an endpoint frees results.
+const FREE: time::Duration = time::Duration::from_secs(1);
+
+/// Who asked for stage work.
+enum Owner {
+    /// This host; gets the results, or nothing if it can't be done.
+    Own(oneshot::Sender<Option<Vec<stage::Handle>>>),
+    /// Another host, and its name for the work.
+    Other(net::SocketAddr, u64),
+}
+
+/// Stage work that this host forms into calls.
+#[derive(Default)]
+pub struct Batcher {
+    board: cell::RefCell<stage::Board>,
+    owners: cell::RefCell<map::FastMap<stage::RunId, Owner>>,
+    tickets: cell::RefCell<map::FastMap<(net::SocketAddr, u64), stage::RunId>>,
+    work: Notify,
+}
+
+impl Batcher {
+    /// Takes over configuration and endpoints.
+    pub fn update(&self, host: &rc::Rc<host::Host>) {
+        {
+            let facts = host.facts.borrow();
+            let Some(catalog) = &facts.catalog else { return };
+            let mut board = self.board.borrow_mut();
+            board.configure(catalog);
+            let usable = |entry: &&_| {
+                let entry: &sequoiacrank_kernel::edge::endpoint::Endpoint = entry;
+                !entry.leaving && !facts.fleet.is_out(&entry.zone)
+            };
+            board.endpoints(facts.fleet.entries().filter(usable));
+        }
+        self.pump(host);
+    }
+
+    /// Takes on work of this host, or refuses it.
+    pub fn ask(
+        &self,
+        host: &rc::Rc<host::Host>,
+        ask: stage::Ask,
+    ) -> (stage::Verdict, oneshot::Receiver<Option<Vec<stage::Handle>>>) {
+        let (sender, receiver) = oneshot::channel();
+        let verdict = self.board.borrow_mut().ask(host.clock.now(), ask);
+        if let stage::Verdict::Taken { run, .. } = verdict {
+            self.owners.borrow_mut().insert(run, Owner::Own(sender));
+        }
+        self.pump(host);
+        (verdict, receiver)
+    }
+
+    /// Takes on work of another host, or refuses it.
+    pub fn asked(&self, host: &rc::Rc<host::Host>, from: net::SocketAddr, wire: wire::Ask) {
+        let now = host.clock.now();
+        let ticket = wire.ticket;
+        let verdict = self.board.borrow_mut().ask(now, crate::stages::decode(now, wire));
+        let body = match verdict {
+            stage::Verdict::Taken { run, expected } => {
+                self.owners.borrow_mut().insert(run, Owner::Other(from, ticket));
+                self.tickets.borrow_mut().insert((from, ticket), run);
+                let expected = host::millis(expected);
+                wire::Body::Taken(wire::Taken { ticket, expected })
+            }
+            stage::Verdict::Refused { after, expected } => {
+                let (after, expected) = (host::millis(after), host::millis(expected));
+                wire::Body::Refused(wire::Refused { ticket, after, expected })
+            }
+        };
+        host.peers.send(host, from, body);
+        self.pump(host);
+    }
+
+    /// Gives up work of this host, or frees its results.
+    pub fn release(&self, host: &rc::Rc<host::Host>, run: stage::RunId) {
+        self.owners.borrow_mut().remove(&run);
+        self.board.borrow_mut().release(run);
+        self.pump(host);
+    }
+
+    /// Gives up work of another host, or frees its results.
+    pub fn released(&self, host: &rc::Rc<host::Host>, from: net::SocketAddr, ticket: u64) {
+        let run = self.tickets.borrow_mut().remove(&(from, ticket));
+        if let Some(run) = run {
+            self.release(host, run);
+        }
+    }
+
+    /// Number of requests whose stage work is here.
+    pub fn len(&self) -> usize {
+        self.board.borrow().len()
+    }
+
+    fn pump(&self, host: &rc::Rc<host::Host>) {
+        let commands = self.board.borrow_mut().poll(host.clock.now());
+        for command in commands {
+            match command {
+                stage::Command::Call { call, endpoint, items, limit } => {
+                    task::spawn_local(run(host.clone(), call, endpoint, items, limit));
+                }
+                stage::Command::Free { endpoint, results } => {
+                    task::spawn_local(free(host.clone(), endpoint, results));
+                }
+                stage::Command::Ready { run, results } => self.tell(host, run, Some(results)),
+                stage::Command::Failed { run } => {
+                    self.tell(host, run, None);
+                    self.owners.borrow_mut().remove(&run);
+                }
+            }
+        }
+        self.work.notify_one();
+    }
+
+    fn tell(
+        &self,
+        host: &rc::Rc<host::Host>,
+        run: stage::RunId,
+        results: Option<Vec<stage::Handle>>,
+    ) {
+        let other = match self.owners.borrow_mut().remove(&run) {
+            Some(Owner::Own(sender)) => {
+                // Whoever asked may have gone; then it gives the work up.
+                let _ = sender.send(results);
+                return;
+            }
+            Some(Owner::Other(address, ticket)) => (address, ticket),
+            None => return,
+        };
+        let (address, ticket) = other;
+        let body = match results {
+            Some(results) => wire::Body::Ready(wire::Ready { ticket, results }),
+            None => {
+                self.tickets.borrow_mut().remove(&other);
+                wire::Body::Failed(wire::Ticket { ticket })
+            }
+        };
+        host.peers.send(host, address, body);
+    }
+}
+
+/// Looks at calls that take too long for as long as there is work.
+pub async fn tick(host: rc::Rc<host::Host>) {
+    loop {
+        let next = host.batcher.board.borrow().next_poll();
+        match next {
+            Some(pause) => {
+                tokio::time::sleep(pause).await;
+                host.batcher.pump(&host);
+            }
+            None => host.batcher.work.notified().await,
+        }
+    }
+}
+
+async fn run(
+    host: rc::Rc<host::Host>,
+    call: stage::CallId,
+    endpoint: id::EndpointId,
+    items: Vec<stage::Item>,
+    limit: time::Duration,
+) {
+    let began = host.clock.now();
+    let result = send(&host, &endpoint, &items, limit).await;
+    let now = host.clock.now();
+    let took = host::millis(now.saturating_sub(began));
+    let pieces = items.len();
+    host.metrics.stage_calls.inc();
+    host.metrics.stage_pieces.inc_by(pieces as u64);
+    match result {
+        Ok(outcomes) => {
+            let made = outcomes.iter().filter(|it| matches!(it, stage::Outcome::Made(_))).count();
+            log::info!(target: "stage", endpoint = endpoint.as_str(), call, pieces, made, took; "call done");
+            host.batcher.board.borrow_mut().done(now, call, outcomes);
+        }
+        Err(failure) => {
+            log::info!(target: "stage", endpoint = endpoint.as_str(), call, pieces, took, failure = format!("{failure:?}").as_str(); "call failed");
+            host.batcher.board.borrow_mut().failed(now, call, failure);
+        }
+    }
+    host.batcher.pump(&host);
+}
+
+async fn send(
+    host: &host::Host,
+    endpoint: &str,
+    items: &[stage::Item],
+    limit: time::Duration,
+) -> Result<Vec<stage::Outcome>, stage::Failure> {
+    let address = host.facts.borrow().fleet.get(endpoint).map(|entry| entry.address);
+    let address = address.ok_or(stage::Failure::Lost)?;
+    let lost = |err: String| {
+        log::info!(target: "stage", endpoint, err = err.as_str(); "no answer");
+        stage::Failure::Lost
+    };
+    let request = wire_stage::run(endpoint, items).map_err(|err| lost(err.to_string()))?;
+    let answer = host.pool.call(address, request, limit).await;
+    let answer = answer.map_err(|err: client::Error| lost(err.to_string()))?;
+    match answer.status {
+        http::StatusCode::OK => {
+            wire_stage::outcomes(&answer.body).map_err(|err| lost(err.to_string()))
+        }
+        http::StatusCode::SERVICE_UNAVAILABLE => Err(stage::Failure::Full),
+        other => Err(lost(format!("status {other}"))),
+    }
+}
+
+async fn free(host: rc::Rc<host::Host>, endpoint: id::EndpointId, results: Vec<stage::Handle>) {
+    let address = host.facts.borrow().fleet.get(&endpoint).map(|entry| entry.address);
+    let Some(address) = address else { return };
+    let result = match wire_stage::free(&endpoint, &results) {
+        Ok(request) => host.pool.call(address, request, FREE).await.map(drop),
+        Err(err) => {
+            log::error!(target: "stage", err = err.to_string().as_str(); "free not written");
+            return;
+        }
+    };
+    if let Err(err) = result {
+        // The endpoint drops them by itself later.
+        let (count, err) = (results.len(), err.to_string());
+        log::info!(target: "stage", endpoint = endpoint.as_str(), count, err = err.as_str(); "not freed");
+    }
+}
--- /dev/null
+++ b/sequoiacrank-edge/src/clock.rs
@@ -0,0 +1,28 @@
+//! The clock of the process, which no change of the time of day moves.
+
+use std::time;
+
+use sequoiacrank_kernel::id;
+
+/// Tells the time since the start of the process.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    start: time::Instant,
+}
+
+impl Clock {
+    /// A clock that starts now.
+    pub fn new() -> Self {
+        Clock { start: time::Instant::now() }
+    }
+
+    /// The time now.
+    pub fn now(&self) -> id::Time {
+        self.start.elapsed()
+    }
+
+    /// The instant at a time, for timers.
+    pub fn at(&self, time: id::Time) -> tokio::time::Instant {
+        tokio::time::Instant::from_std(self.start + time)
+    }
+}
--- /dev/null
+++ b/sequoiacrank-edge/src/exchange.rs
@@ -0,0 +1,603 @@
+//! One request of a caller, from its head to its answer.
+
+use std::cell;
+use std::rc;
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use hyper::body;
+use sequoiacrank_adapter::call;
+use sequoiacrank_adapter::ingress;
+use sequoiacrank_kernel::code;
+use sequoiacrank_kernel::edge::budget;
+use sequoiacrank_kernel::edge::catalog;
+use sequoiacrank_kernel::edge::fleet;
+use sequoiacrank_kernel::edge::stage;
+use sequoiacrank_kernel::id;
+
+use crate::body::Body;
+use crate::client;
+use crate::front;
+use crate::host;
+use crate::stages;
+use crate::stop;
+use crate::stream;
+
+/// Time that a body may take to arrive.
+const BODY: time::Duration = time::Duration::from_secs(5);
+/// Least time left that makes a send worth it.
+const LEAST: time::Duration = time::Duration::from_millis(10);
+/// Time to come back after a refusal that will not last: a new endpoint or configuration is known by then.
+const SOON: time::Duration = time::Duration::from_millis(300);
+/// Time that a request usually needs behind its stages, before any was seen.
+const TAIL: time::Duration = time::Duration::from_millis(120);
+/// Weight of the newest request in that time, one in so many.
+const TAIL_WEIGHT: u32 = 8;
+/// Endpoints that may be tried beyond the attempts of the route, as long as none was reached.
+const UNREACHED: usize = 4;
+/// Largest part of the target after which a repeatable request is taken to another endpoint if no answer
+/// has begun. A stream's first event may wait for its prompt to be read, a plain answer may not.
+const PATIENCE: (f64, f64) = (1.0, 0.6);
+
+/// A refusal or failure of the host's own.
+#[derive(Clone, Copy, Debug)]
+pub struct Refusal {
+    code: code::Code,
+    after: Option<time::Duration>,
+}
+
+impl Refusal {
+    /// A refusal after which the caller need not come back at a certain time.
+    pub fn new(code: code::Code) -> Self {
+        Refusal { code, after: None }
+    }
+
+    fn soon(code: code::Code) -> Self {
+        Refusal { code, after: Some(SOON) }
+    }
+
+    fn answer(self) -> front::Answer {
+        let text =
+            format!("{{\"code\":{},\"title\":\"{}\"}}\n", self.code.number(), self.code.title());
+        let mut answer = http::Response::new(Body::whole(text.into()));
+        let status = http::StatusCode::from_u16(self.code.status());
+        *answer.status_mut() = status.unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
+        let json = http::HeaderValue::from_static("application/json");
+        answer.headers_mut().insert(http::header::CONTENT_TYPE, json);
+        if let Some(after) = self.after {
+            let seconds = format!("{:.2}", after.as_secs_f64().max(0.05));
+            if let Ok(seconds) = http::HeaderValue::from_str(&seconds) {
+                answer.headers_mut().insert(http::header::RETRY_AFTER, seconds);
+            }
+        }
+        answer
+    }
+}
+
+/// A request that was admitted.
+pub struct Exchange {
+    pub(crate) host: rc::Rc<host::Host>,
+    pub(crate) head: ingress::Head,
+    pub(crate) route: sync::Arc<catalog::Route>,
+    service: id::ServiceId,
+    workspace: Option<sync::Arc<catalog::Workspace>>,
+    method: http::Method,
+    uri: http::Uri,
+    passed: http::HeaderMap,
+    body: Bytes,
+    pub(crate) began: id::Time,
+    pub(crate) deadline: id::Time,
+    aim: id::Time,
+    pub(crate) results: cell::RefCell<Option<stages::Results>>,
+    tried: cell::RefCell<Vec<id::EndpointId>>,
+    sends: cell::Cell<u32>,
+    _running: stop::Running,
+}
+
+/// A call to an endpoint. Dropping it before its end says nothing about the endpoint.
+pub struct Flight {
+    host: rc::Rc<host::Host>,
+    /// The endpoint.
+    pub endpoint: id::EndpointId,
+    call: fleet::Call,
+    began: id::Time,
+    ended: bool,
+}
+
+impl Flight {
+    fn begin(host: &rc::Rc<host::Host>, endpoint: &str) -> Self {
+        let began = host.clock.now();
+        let call = host.facts.borrow_mut().fleet.begin(began, endpoint);
+        let (host, endpoint) = (host.clone(), endpoint.to_owned());
+        Flight { host, endpoint, call, began, ended: false }
+    }
+
+    fn age(&self) -> time::Duration {
+        self.host.clock.now().saturating_sub(self.began)
+    }
+
+    fn answered(&self) {
+        let now = self.host.clock.now();
+        self.host.facts.borrow_mut().fleet.answered(now, &self.endpoint, self.call);
+    }
+
+    /// Notes how the call ended.
+    pub fn end(mut self, end: fleet::End) {
+        self.finish(end);
+    }
+
+    fn finish(&mut self, end: fleet::End) {
+        if std::mem::replace(&mut self.ended, true) {
+            return;
+        }
+        let label = match end {
+            fleet::End::Good => "good",
+            fleet::End::Full => "full",
+            fleet::End::Bad => "bad",
+            fleet::End::Lost => "lost",
+            fleet::End::Dropped => "dropped",
+        };
+        self.host.metrics.calls.with_label_values(&[label]).inc();
+        let now = self.host.clock.now();
+        self.host.facts.borrow_mut().fleet.end(now, &self.endpoint, self.call, end);
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.finish(fleet::End::Dropped);
+    }
+}
+
+/// An answer whose head has come.
+pub struct Upstream {
+    pub(crate) connection: client::Connection,
+    pub(crate) head: http::response::Parts,
+    pub(crate) body: body::Incoming,
+    pub(crate) flight: Flight,
+    pub(crate) marks: call::Answer,
+}
+
+/// How one send ended without an answer for the caller.
+pub enum Miss {
+    /// The endpoint did not get it.
+    Unsent,
+    /// The endpoint did not run it.
+    Refused(http::StatusCode),
+    /// It may have run.
+    Lost(code::Code),
+}
+
+/// Answers a request.
+pub async fn serve(
+    host: &rc::Rc<host::Host>,
+    request: http::Request<body::Incoming>,
+) -> front::Answer {
+    let (parts, body) = request.into_parts();
+    let mut answer = match admit(host, parts, body).await {
+        Ok(exchange) => rc::Rc::new(exchange).run().await,
+        Err(refusal) => refusal.answer(),
+    };
+    if host.stop.is_leaving() {
+        let close = http::HeaderValue::from_static("close");
+        answer.headers_mut().insert(http::header::CONNECTION, close);
+    }
+    answer
+}
+
+/// Reads a request and finds out whether, and to what, it is allowed.
+async fn admit(
+    host: &rc::Rc<host::Host>,
+    parts: http::request::Parts,
+    body: body::Incoming,
+) -> Result<Exchange, Refusal> {
+    let began = host.clock.now();
+    let running = stop::Stop::running(host);
+    let refuse = |refusal: Refusal, id: &str| {
+        let number = refusal.code.number();
+        host.metrics.requests.with_label_values(&["", &number.to_string()]).inc();
+        log::info!(target: "request", id, code = number, path = parts.uri.path(); "refused");
+        refusal
+    };
+    let head = match ingress::Head::decode(&parts) {
+        Ok(head) => head,
+        Err(_) => return Err(refuse(Refusal::new(code::Code::BadRequest), "")),
+    };
+    let id = head.attempt.clone();
+    let catalog = host.facts.borrow().catalog.clone();
+    let Some(catalog) = catalog else {
+        return Err(refuse(Refusal::soon(code::Code::NotReady), &id));
+    };
+    let Some(route) = catalog.route(&head.hostname, &head.path).cloned() else {
+        return Err(refuse(Refusal::new(code::Code::NoMatch), &id));
+    };
+    let workspace = head.key.as_deref().and_then(|key| catalog.workspace(key)).cloned();
+    if workspace.is_none() && !route.exempt {
+        return Err(refuse(Refusal::new(code::Code::NoKey), &id));
+    }
+    let Some(service) = route.service(rand::random()).cloned() else {
+        return Err(refuse(Refusal::soon(code::Code::NoEndpoint), &id));
+    };
+    let whole = tokio::time::timeout(BODY, front::read(body, catalog.limits.body)).await;
+    let body = match whole {
+        Ok(Ok(Some(body))) => body,
+        Ok(Ok(None)) => return Err(refuse(Refusal::new(code::Code::TooLarge), &id)),
+        // The caller broke off or is too slow; nothing was sent.
+        Ok(Err(_)) | Err(_) => return Err(refuse(Refusal::new(code::Code::BodyLate), &id)),
+    };
+    let now = host.clock.now();
+    host.facts.borrow_mut().budgets.entry(service.clone()).or_default().request(now, &host.bound());
+    let budget = head.budget.map_or(route.timeout, |budget| budget.min(route.timeout));
+    // A caller that comes back says how much of its time is left.
+    let spent = head.budget.map_or(time::Duration::ZERO, |left| route.timeout.saturating_sub(left));
+    Ok(Exchange {
+        host: host.clone(),
+        passed: call::passed_on(&parts.headers),
+        method: parts.method,
+        uri: parts.uri,
+        deadline: began + budget,
+        aim: began + route.target.saturating_sub(spent),
+        head,
+        route,
+        service,
+        workspace,
+        body,
+        began,
+        results: cell::RefCell::new(None),
+        tried: cell::RefCell::default(),
+        sends: cell::Cell::new(0),
+        _running: running,
+    })
+}
+
+impl host::Host {
+    /// The bound on repeats of all hosts together.
+    fn bound(&self) -> budget::Bound {
+        let retries = &self.settings.retries;
+        budget::Bound { ratio: retries.ratio, slack: retries.slack, span: retries.span }
+    }
+}
+
+impl Exchange {
+    /// Time until the deadline.
+    pub fn left(&self) -> time::Duration {
+        self.deadline.saturating_sub(self.host.clock.now())
+    }
+
+    fn refuse(&self, refusal: Refusal) -> front::Answer {
+        let number = refusal.code.number();
+        let took = host::millis(self.host.clock.now().saturating_sub(self.began));
+        let after = refusal.after.map_or(0, host::millis);
+        self.host
+            .metrics
+            .requests
+            .with_label_values(&[&self.route.name, &number.to_string()])
+            .inc();
+        log::info!(target: "request", id = self.head.attempt.as_str(), route = self.route.name.as_str(), code = number, sends = self.sends.get(), took, after; "refused");
+        refusal.answer()
+    }
+
+    /// Runs the request to its answer.
+    async fn run(self: rc::Rc<Self>) -> front::Answer {
+        if let Err(refusal) = self.stages().await {
+            return self.refuse(refusal);
+        }
+        match self.calls().await {
+            Ok(upstream) => self.finish(upstream).await,
+            Err(refusal) => self.refuse(refusal),
+        }
+    }
+
+    /// Gets the results that the request needs from other services.
+    pub async fn stages(&self) -> Result<(), Refusal> {
+        let pieces = |stage: usize| self.head.pieces.get(stage).copied().unwrap_or_default();
+        let work: Vec<stage::Work> = self
+            .route
+            .stages
+            .iter()
+            .enumerate()
+            .map(|(place, it)| stage::Work {
+                service: it.service.clone(),
+                after: it.after.clone(),
+                bytes: it.bytes,
+                pieces: pieces(place),
+            })
+            .collect();
+        if work.iter().all(|it| it.pieces == 0) {
+            return Ok(());
+        }
+        let tail = self.host.tails.borrow().get(&self.route.name).copied().unwrap_or(TAIL);
+        let zone = self.choose().map(|(_, _, zone)| zone);
+        let ask = stage::Ask {
+            request: self.head.attempt.clone(),
+            key: self.head.piece_key.clone(),
+            stages: work,
+            aim: self.aim,
+            deadline: self.deadline,
+            tail,
+            zone,
+        };
+        let began = self.host.clock.now();
+        let results = stages::obtain(&self.host, ask).await;
+        let took = host::millis(self.host.clock.now().saturating_sub(began));
+        let id = self.head.attempt.as_str();
+        match results {
+            Ok(results) => {
+                log::info!(target: "request", id, results = results.handles.len(), took; "stages done");
+                *self.results.borrow_mut() = Some(results);
+                Ok(())
+            }
+            Err(refusal) => {
+                let reason = format!("{refusal:?}");
+                log::info!(target: "request", id, took, reason = reason.as_str(); "stages refused");
+                match refusal {
+                    stages::Refusal::Late(after) => {
+                        Err(Refusal { code: code::Code::TooSlow, after: Some(after) })
+                    }
+                    stages::Refusal::Failed => Err(Refusal::soon(code::Code::QueueFull)),
+                }
+            }
+        }
+    }
+
+    /// The endpoint for the next send, with its address and zone.
+    fn choose(&self) -> Option<(id::EndpointId, std::net::SocketAddr, id::ZoneId)> {
+        let facts = self.host.facts.borrow();
+        let service = facts.catalog.as_ref().and_then(|it| it.service(&self.service).cloned());
+        let tried = self.tried.borrow();
+        let want = fleet::Want {
+            session: self.head.session.filter(|_| self.route.affinity),
+            avoid: &tried,
+            zone: Some(&self.host.settings.zone),
+            rate: service.and_then(|service| self.host.rate(service.cold_rate)),
+        };
+        let now = self.host.clock.now();
+        let entry = facts.fleet.choose(now, &self.service, &want, rand::random())?;
+        Some((entry.id.clone(), entry.address, entry.zone.clone()))
+    }
+
+    /// Takes one repeat out of the budget.
+    pub fn repeat(&self) -> bool {
+        let now = self.host.clock.now();
+        let hosts = self.host.peers.count(now);
+        let bound = self.host.bound();
+        let mut facts = self.host.facts.borrow_mut();
+        facts.budgets.entry(self.service.clone()).or_default().repeat(now, &bound, hosts)
+    }
+
+    /// Whether the request may be sent to one more endpoint.
+    pub fn may_repeat(&self) -> bool {
+        self.route.repeatable() && self.sends.get() < self.route.attempts && self.left() > LEAST
+    }
+
+    /// Sends the request until an endpoint begins to answer.
+    async fn calls(&self) -> Result<Upstream, Refusal> {
+        let mut unreached = 0;
+        loop {
+            if self.left() < LEAST {
+                let code = match self.sends.get() {
+                    0 => code::Code::TooSlow,
+                    _ => code::Code::Deadline,
+                };
+                return Err(Refusal::new(code));
+            }
+            let Some((endpoint, address, _)) = self.choose() else {
+                return Err(Refusal::soon(code::Code::NoEndpoint));
+            };
+            self.tried.borrow_mut().push(endpoint.clone());
+            let miss = match self.send(&endpoint, address, self.head.resume).await {
+                Ok(upstream)
+                    if self.is_failure(&upstream) && self.may_repeat() && self.repeat() =>
+                {
+                    upstream.flight.end(fleet::End::Bad);
+                    continue;
+                }
+                Ok(upstream) => return Ok(upstream),
+                Err(miss) => miss,
+            };
+            match miss {
+                Miss::Unsent => {
+                    unreached += 1;
+                    if unreached >= UNREACHED {
+                        return Err(Refusal::soon(code::Code::NoEndpoint));
+                    }
+                }
+                Miss::Refused(http::StatusCode::MISDIRECTED_REQUEST) => unreached += 1,
+                Miss::Refused(http::StatusCode::CONFLICT) if self.results.borrow().is_some() => {
+                    if self.sends.get() > 1 || !self.repeat() {
+                        return Err(Refusal::soon(code::Code::QueueFull));
+                    }
+                    self.results.borrow_mut().take();
+                    self.stages().await?;
+                }
+                Miss::Refused(_) => {
+                    if self.sends.get() >= self.route.attempts || !self.repeat() {
+                        return Err(Refusal::soon(code::Code::QueueFull));
+                    }
+                }
+                Miss::Lost(code) => {
+                    if !self.may_repeat() || !self.repeat() {
+                        return Err(Refusal::new(code));
+                    }
+                }
+            }
+        }
+    }
+
+    fn is_failure(&self, upstream: &Upstream) -> bool {
+        upstream.head.status.is_server_error()
+    }
+
+    /// Time to wait for the first byte of an answer.
+    fn patience(&self) -> time::Duration {
+        let part = match self.route.kind {
+            catalog::Kind::Stream => PATIENCE.1,
+            _ => PATIENCE.0,
+        };
+        match self.may_repeat() {
+            true => self.route.target.mul_f64(part).min(self.left()),
+            false => self.left(),
+        }
+    }
+
+    /// Sends the request to an endpoint and waits for the head of its answer.
+    pub async fn send(
+        &self,
+        endpoint: &str,
+        address: std::net::SocketAddr,
+        resume: Option<u64>,
+    ) -> Result<Upstream, Miss> {
+        let host = &self.host;
+        let flight = Flight::begin(host, endpoint);
+        let connection = match self.route.repeatable() {
+            true => host.pool.connection(address).await,
+            false => host.pool.fresh(address).await,
+        };
+        let mut connection = match connection {
+            Ok(connection) => connection,
+            Err(err) => return Err(self.missed(flight, &err)),
+        };
+        self.sends.set(self.sends.get() + 1);
+        let patience = self.patience();
+        let sent = connection.send(self.order(endpoint, resume));
+        let mut answer =
+            tokio::time::timeout(patience, sent).await.unwrap_or(Err(client::Error::Time));
+        if answer.as_ref().is_err_and(client::Error::is_unsent) && connection.is_used() {
+            // The connection had been closed while it was idle.
+            connection = match host.pool.fresh(address).await {
+                Ok(connection) => connection,
+                Err(err) => {
+                    self.sends.set(self.sends.get() - 1);
+                    return Err(self.missed(flight, &err));
+                }
+            };
+            let sent = connection.send(self.order(endpoint, resume));
+            answer = tokio::time::timeout(patience, sent).await.unwrap_or(Err(client::Error::Time));
+        }
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(err) => return Err(self.missed(flight, &err)),
+        };
+        flight.answered();
+        let (head, body) = answer.into_parts();
+        let marks = call::Answer::decode(head.status, &head.headers, &self.head.attempt);
+        let id = self.head.attempt.as_str();
+        let status = head.status.as_u16();
+        let took = host::millis(host.clock.now().saturating_sub(self.began));
+        match marks {
+            call::Answer { refused: true, moved, .. } => {
+                log::info!(target: "request", id, endpoint, status, took; "endpoint refused");
+                flight.end(if moved { fleet::End::Lost } else { fleet::End::Full });
+                Err(Miss::Refused(head.status))
+            }
+            call::Answer { ours: false, .. } => {
+                log::warn!(target: "request", id, endpoint, status, took; "answer to another request");
+                flight.end(fleet::End::Bad);
+                Err(Miss::Lost(code::Code::BadAnswer))
+            }
+            marks => Ok(Upstream { connection, head, body, flight, marks }),
+        }
+    }
+
+    fn missed(&self, flight: Flight, err: &client::Error) -> Miss {
+        let id = self.head.attempt.as_str();
+        let reason = err.to_string();
+        let took = host::millis(self.host.clock.now().saturating_sub(self.began));
+        log::info!(target: "request", id, endpoint = flight.endpoint.as_str(), took, reason = reason.as_str(); "send failed");
+        let (end, miss) = match err {
+            client::Error::Connect(_) => (fleet::End::Lost, Miss::Unsent),
+            client::Error::Time if self.left() < LEAST => {
+                (fleet::End::Bad, Miss::Lost(code::Code::Deadline))
+            }
+            client::Error::Time => (fleet::End::Lost, Miss::Lost(code::Code::StageFailed)),
+            client::Error::Broken(_) | client::Error::Large => {
+                (fleet::End::Lost, Miss::Lost(code::Code::OutcomeLost))
+            }
+        };
+        flight.end(end);
+        miss
+    }
+
+    fn order(&self, endpoint: &str, resume: Option<u64>) -> http::Request<Bytes> {
+        let results = self.results.borrow();
+        let rank = self.workspace.as_ref().and_then(|it| it.rank).unwrap_or(self.route.rank);
+        let order = call::Order {
+            endpoint,
+            workspace: self.workspace.as_ref().map(|workspace| workspace.name.as_str()),
+            budget: self.left(),
+            results: results.as_ref().map_or(&[], |results| &results.handles),
+            urgency: self.route.affinity.then_some(rank),
+            resume,
+        };
+        let mut request = http::Request::new(self.body.clone());
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = call::headers(&self.passed, &order);
+        request
+    }
+
+    /// The endpoint for the continuation of a stream, and its answer.
+    pub async fn resume(&self, last: u64) -> Result<Upstream, Miss> {
+        if self.results.borrow().is_none() && self.stages().await.is_err() {
+            return Err(Miss::Unsent);
+        }
+        let Some((endpoint, address, _)) = self.choose() else { return Err(Miss::Unsent) };
+        self.tried.borrow_mut().push(endpoint.clone());
+        self.send(&endpoint, address, Some(last)).await
+    }
+
+    /// Turns the answer of an endpoint into that for the caller.
+    async fn finish(self: rc::Rc<Self>, upstream: Upstream) -> front::Answer {
+        let took = self.host.clock.now().saturating_sub(self.began);
+        let route = self.route.name.as_str();
+        self.host.metrics.latency.with_label_values(&[route]).observe(took.as_secs_f64());
+        let stream = self.route.kind == catalog::Kind::Stream && upstream.head.status.is_success();
+        let mut answer = http::Response::new(Body::Whole(None));
+        *answer.status_mut() = upstream.head.status;
+        *answer.headers_mut() = ingress::end_to_end(&upstream.head.headers);
+        if stream {
+            self.note_tail(&upstream);
+            *answer.body_mut() = stream::start(self, upstream);
+            return answer;
+        }
+        let Upstream { connection, body, flight, marks, head } = upstream;
+        let left = self.left();
+        let whole = tokio::time::timeout(left, client::collect(body)).await;
+        let body = match whole.unwrap_or(Err(client::Error::Time)) {
+            Ok(body) => body,
+            Err(err) => {
+                let miss = self.missed(flight, &err);
+                let code = match miss {
+                    Miss::Lost(code) => code,
+                    Miss::Unsent | Miss::Refused(_) => code::Code::OutcomeLost,
+                };
+                return self.refuse(Refusal::new(code));
+            }
+        };
+        let failed = head.status.is_server_error();
+        flight.end(if failed { fleet::End::Bad } else { fleet::End::Good });
+        if let Some(kept) = marks.keep.filter(|_| self.route.repeatable()) {
+            self.host.pool.keep(connection, kept);
+        }
+        self.answered(head.status, took);
+        *answer.body_mut() = Body::whole(body);
+        answer
+    }
+
+    /// Notes that an endpoint's answer went to the caller.
+    pub fn answered(&self, status: http::StatusCode, first: time::Duration) {
+        let (id, route) = (self.head.attempt.as_str(), self.route.name.as_str());
+        let first = host::millis(first);
+        let took = host::millis(self.host.clock.now().saturating_sub(self.began));
+        self.host.metrics.requests.with_label_values(&[route, "0"]).inc();
+        log::info!(target: "request", id, route, status = status.as_u16(), sends = self.sends.get(), first, took; "answered");
+    }
+
+    fn note_tail(&self, upstream: &Upstream) {
+        let took = upstream.flight.age();
+        let mut tails = self.host.tails.borrow_mut();
+        let tail = tails.entry(self.route.name.clone()).or_insert(TAIL);
+        *tail = (*tail * (TAIL_WEIGHT - 1) + took) / TAIL_WEIGHT;
+    }
+}
--- /dev/null
+++ b/sequoiacrank-edge/src/facts.rs
@@ -0,0 +1,181 @@
+//! What a host knows from the store, by itself or through other hosts.
+
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use sequoiacrank_adapter::operator;
+use sequoiacrank_adapter::registration;
+use sequoiacrank_adapter::store;
+use sequoiacrank_kernel::edge::budget;
+use sequoiacrank_kernel::edge::catalog;
+use sequoiacrank_kernel::edge::fleet;
+use sequoiacrank_kernel::edge::records;
+use sequoiacrank_kernel::id;
+use sequoiacrank_kernel::map;
+
+/// Time without news from the store after which entries that are gone may have lapsed for its outage alone.
+const OUTAGE: time::Duration = time::Duration::from_millis(1500);
+/// Time after an outage within which the entries of live endpoints are back.
+const BACK: time::Duration = time::Duration::from_secs(2);
+
+/// Facts and what follows from them.
+#[derive(Default)]
+pub struct Facts {
+    /// Configuration in force.
+    pub catalog: Option<sync::Arc<catalog::Catalog>>,
+    /// Endpoints.
+    pub fleet: fleet::Fleet,
+    /// Budgets of repeats by service.
+    pub budgets: map::FastMap<id::ServiceId, budget::Budget>,
+    operators: records::Records<Bytes>,
+    endpoints: records::Records<Bytes>,
+    /// Endpoints whose entry lapsed in an outage, with the time at which they count as gone.
+    lapsed: map::FastMap<id::EndpointId, id::Time>,
+    /// End of the last outage.
+    back: Option<id::Time>,
+}
+
+impl Facts {
+    /// Records of a topic.
+    pub fn records(&self, topic: store::Topic) -> &records::Records<Bytes> {
+        match topic {
+            store::Topic::Operators => &self.operators,
+            _ => &self.endpoints,
+        }
+    }
+
+    /// Takes over records of a topic as they stood at `at`; `whole` if they are all that there are.
+    /// Returns whether the endpoints that may be used have changed.
+    pub fn take(
+        &mut self,
+        topic: store::Topic,
+        page: store::Page,
+        whole: bool,
+        now: id::Time,
+        at: id::Time,
+    ) -> bool {
+        if topic == store::Topic::Endpoints {
+            let silent = self.endpoints.fresh().is_some_and(|fresh| at > fresh + OUTAGE);
+            if silent {
+                self.back = Some(now);
+            }
+        }
+        let records = match topic {
+            store::Topic::Operators => &mut self.operators,
+            _ => &mut self.endpoints,
+        };
+        let changed = match whole {
+            true => records.replace(page.records, page.end, at),
+            false => records.merge(page.records, page.end, at),
+        };
+        match topic {
+            store::Topic::Operators => self.operators_changed(&changed),
+            _ => self.endpoints_changed(now, &changed),
+        }
+    }
+
+    fn operators_changed(&mut self, changed: &[String]) -> bool {
+        let mut zones = false;
+        for key in changed {
+            match operator::Matter::of(key) {
+                operator::Matter::Configuration => self.configure(),
+                operator::Matter::ZoneOut(_) => zones = true,
+                operator::Matter::Move(_) | operator::Matter::Other => {}
+            }
+        }
+        if zones {
+            let out: map::FastSet<id::ZoneId> = self
+                .operators
+                .iter()
+                .filter_map(|(key, _)| match operator::Matter::of(key) {
+                    operator::Matter::ZoneOut(zone) => Some(zone),
+                    _ => None,
+                })
+                .collect();
+            let names = out.iter().cloned().collect::<Vec<_>>().join(",");
+            log::info!(target: "operators", zones = names.as_str(), offset = self.operators.end(); "zones out");
+            self.fleet.take_out(out);
+        }
+        !changed.is_empty()
+    }
+
+    fn configure(&mut self) {
+        let Some(value) = self.operators.get("config") else { return };
+        let version = self.catalog.as_ref().map_or(0, |catalog| catalog.version);
+        match operator::configuration(value) {
+            Ok(catalog) if catalog.version >= version => {
+                let version = catalog.version;
+                log::info!(target: "operators", version, offset = self.operators.end(); "configuration in force");
+                self.catalog = Some(sync::Arc::new(catalog));
+            }
+            Ok(catalog) => {
+                log::info!(target: "operators", version = catalog.version, now = version; "old configuration left out");
+            }
+            Err(err) => {
+                log::error!(target: "operators", err = err.to_string().as_str(); "configuration not read");
+            }
+        }
+    }
+
+    fn endpoints_changed(&mut self, now: id::Time, changed: &[String]) -> bool {
+        let mut usable = false;
+        for id in changed {
+            let entry = self.endpoints.get(id).map(|value| registration::decode(id, value));
+            match entry {
+                Some(Some(entry)) => {
+                    self.lapsed.remove(id);
+                    let before = self.fleet.get(id).map(|it| (it.leaving, it.address));
+                    let next = (entry.leaving, entry.address);
+                    let leaving = entry.leaving;
+                    let service = entry.service.clone();
+                    let started = self.fleet.register(now, entry);
+                    if started || before != Some(next) {
+                        usable = true;
+                        let offset = self.endpoints.offset(id);
+                        log::info!(target: "endpoints", endpoint = id.as_str(), service = service.as_str(), started, leaving, offset; "registered");
+                    }
+                }
+                // Not in the form of an entry: another writer's, which names no endpoint.
+                Some(None) => {}
+                None => usable |= self.gone(now, id),
+            }
+        }
+        usable
+    }
+
+    fn gone(&mut self, now: id::Time, id: &str) -> bool {
+        match self.back.filter(|&back| now < back + BACK) {
+            Some(back) if self.fleet.get(id).is_some_and(|entry| !entry.leaving) => {
+                self.lapsed.insert(id.to_owned(), back + BACK);
+                log::info!(target: "endpoints", endpoint = id; "lapsed in an outage");
+                false
+            }
+            _ => {
+                let known = self.fleet.remove(id);
+                if known {
+                    let offset = self.endpoints.offset(id);
+                    log::info!(target: "endpoints", endpoint = id, offset; "gone");
+                }
+                known
+            }
+        }
+    }
+
+    /// Drops endpoints whose entry lapsed in an outage and did not come back. Returns whether there were any.
+    pub fn expire(&mut self, now: id::Time) -> bool {
+        let over: Vec<id::EndpointId> =
+            self.lapsed.iter().filter(|(_, at)| now >= **at).map(|(id, _)| id.clone()).collect();
+        for id in &over {
+            self.lapsed.remove(id);
+            self.fleet.remove(id);
+            log::info!(target: "endpoints", endpoint = id.as_str(); "gone after an outage");
+        }
+        !over.is_empty()
+    }
+
+    /// Whether requests can be served.
+    pub fn ready(&self) -> bool {
+        self.catalog.is_some() && self.fleet.entries().next().is_some()
+    }
+}
--- /dev/null
+++ b/sequoiacrank-edge/src/host.rs
@@ -0,0 +1,223 @@
+//! One host: its state, and the tasks that it consists of.
+
+use std::cell;
+use std::net;
+use std::rc;
+use std::time;
+
+use sequoiacrank_adapter::store as topics;
+use sequoiacrank_config::edge;
+use sequoiacrank_kernel::id;
+use sequoiacrank_kernel::map;
+use tokio::net::TcpListener;
+use tokio::task;
+
+use crate::Error;
+use crate::batcher;
+use crate::client;
+use crate::clock;
+use crate::facts;
+use crate::front;
+use crate::metrics;
+use crate::peer;
+use crate::peer::wire;
+use crate::stages;
+use crate::stop;
+use crate::store;
+
+/// Time between two looks at what only time changes.
+const HOUSEKEEPING: time::Duration = time::Duration::from_millis(500);
+
+/// The state of a host.
+pub struct Host {
+    /// Settings.
+    pub settings: edge::Settings,
+    /// Clock of the process.
+    pub clock: clock::Clock,
+    /// Connections to endpoints and to the store.
+    pub pool: client::Pool,
+    /// What is known from the store.
+    pub facts: cell::RefCell<facts::Facts>,
+    /// Stage work that this host forms into calls.
+    pub batcher: batcher::Batcher,
+    /// Stage work that this host asks for.
+    pub stages: stages::Stages,
+    /// Other hosts.
+    pub peers: peer::Peers,
+    /// Counts.
+    pub metrics: metrics::Metrics,
+    /// How far a stop is.
+    pub stop: stop::Stop,
+    /// Usual time of requests behind their stages, by route.
+    pub tails: cell::RefCell<map::FastMap<id::RouteId, time::Duration>>,
+}
+
+impl Host {
+    fn new(settings: edge::Settings) -> Self {
+        let clock = clock::Clock::new();
+        Host {
+            clock,
+            pool: client::Pool::new(clock),
+            facts: cell::RefCell::default(),
+            batcher: batcher::Batcher::default(),
+            stages: stages::Stages::default(),
+            peers: peer::Peers::default(),
+            metrics: metrics::Metrics::new(),
+            stop: stop::Stop::default(),
+            tails: cell::RefCell::default(),
+            settings,
+        }
+    }
+
+    /// Takes over records of the store as they stood at `at`.
+    pub fn learn(
+        self: &rc::Rc<Self>,
+        topic: topics::Topic,
+        page: topics::Page,
+        whole: bool,
+        at: id::Time,
+    ) {
+        let now = self.clock.now();
+        let changed = self.facts.borrow_mut().take(topic, page, whole, now, at);
+        if changed {
+            self.batcher.update(self);
+        }
+    }
+
+    /// What this host says of itself.
+    pub fn pulse(&self, number: u64, hosts: Vec<String>) -> wire::Pulse {
+        let facts = self.facts.borrow();
+        let endpoints = facts.records(topics::Topic::Endpoints);
+        let now = self.clock.now();
+        let age = endpoints.fresh().map_or(u64::MAX, |at| millis(now.saturating_sub(at)));
+        wire::Pulse {
+            leaving: self.stop.is_leaving(),
+            operators: facts.records(topics::Topic::Operators).end(),
+            endpoints: endpoints.end(),
+            age,
+            hosts,
+            number,
+            heard: 0,
+        }
+    }
+
+    /// Takes over a pulse of another host.
+    pub fn heard(self: &rc::Rc<Self>, from: net::SocketAddr, pulse: &wire::Pulse) {
+        self.peers.learn(from, pulse);
+        for host in &pulse.hosts {
+            if let Ok(address) = host.parse() {
+                self.peers.add(self, address);
+            }
+        }
+        let (operators, endpoints) = {
+            let facts = self.facts.borrow();
+            let end = |topic| facts.records(topic).end();
+            (end(topics::Topic::Operators), end(topics::Topic::Endpoints))
+        };
+        // Both topics are followed at the store as well; what another host has newer than that shows that
+        // the store can't be reached from here, or answers late.
+        for (endpoints, own, theirs) in
+            [(false, operators, pulse.operators), (true, endpoints, pulse.endpoints)]
+        {
+            if theirs > own {
+                let fetch = wire::Fetch { endpoints, from: own };
+                self.peers.send(self, from, wire::Body::Fetch(fetch));
+            }
+        }
+    }
+
+    /// Gives records to another host.
+    pub fn give(&self, to: net::SocketAddr, fetch: &wire::Fetch) {
+        let records = {
+            let facts = self.facts.borrow();
+            let records = facts.records(topic(fetch.endpoints));
+            let age = records.fresh().map(|at| self.clock.now().saturating_sub(at));
+            wire::Records {
+                endpoints: fetch.endpoints,
+                records: records.since(fetch.from).into_iter().map(wire::Record::from).collect(),
+                end: records.end(),
+                age: age.map_or(u64::MAX, millis),
+            }
+        };
+        self.peers.send(self, to, wire::Body::Records(records));
+    }
+
+    /// Takes records of another host over.
+    pub fn take(self: &rc::Rc<Self>, records: wire::Records) {
+        let now = self.clock.now();
+        let at = now.saturating_sub(time::Duration::from_millis(records.age));
+        let page = topics::Page {
+            records: records.records.into_iter().map(topics::Record::from).collect(),
+            end: records.end,
+            more: None,
+        };
+        self.learn(topic(records.endpoints), page, false, at);
+    }
+
+    /// Requests that one host may send to an endpoint of a service in a second, if that is bounded.
+    pub fn rate(&self, cold_rate: f64) -> Option<usize> {
+        let hosts = self.peers.count(self.clock.now()) as f64;
+        let bound = cold_rate * self.settings.cold.overshoot + self.settings.cold.slack;
+        (cold_rate > 0.0).then(|| (bound / hosts).floor().max(1.0) as usize)
+    }
+}
+
+fn topic(endpoints: bool) -> topics::Topic {
+    match endpoints {
+        true => topics::Topic::Endpoints,
+        false => topics::Topic::Operators,
+    }
+}
+
+/// Whole milliseconds of a time.
+pub fn millis(time: time::Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+async fn listen(what: &'static str, address: net::SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address).await.map_err(|err| Error::Io(what, err))
+}
+
+/// Runs a host until it has stopped.
+pub async fn run(settings: edge::Settings) -> Result<(), Error> {
+    let callers = listen("address for callers", settings.listen).await?;
+    let readiness = listen("address for readiness", settings.readiness).await?;
+    let hosts = listen("address for hosts", settings.peer).await?;
+    let metrics = listen("address for metrics", settings.metrics).await?;
+    let host = rc::Rc::new(Host::new(settings));
+    let zone = host.settings.zone.as_str();
+    log::info!(target: "process", zone, version = env!("CARGO_PKG_VERSION"); "started");
+    task::spawn_local(front::callers(host.clone(), callers));
+    task::spawn_local(front::readiness(host.clone(), readiness));
+    task::spawn_local(front::metrics(host.clone(), metrics));
+    task::spawn_local(peer::listen(host.clone(), hosts));
+    task::spawn_local(store::follow(host.clone(), topics::Topic::Operators));
+    task::spawn_local(store::follow(host.clone(), topics::Topic::Endpoints));
+    task::spawn_local(pulses(host.clone()));
+    task::spawn_local(batcher::tick(host.clone()));
+    task::spawn_local(housekeeping(host.clone()));
+    stop::wait(&host).await.map_err(|err| Error::Io("signals", err))?;
+    log::info!(target: "process", "stopped");
+    Ok(())
+}
+
+async fn pulses(host: rc::Rc<Host>) {
+    loop {
+        for &seed in &host.settings.seeds {
+            host.peers.add(&host, seed);
+        }
+        host.peers.pulse(&host);
+        tokio::time::sleep(peer::PULSE).await;
+    }
+}
+
+async fn housekeeping(host: rc::Rc<Host>) {
+    loop {
+        tokio::time::sleep(HOUSEKEEPING).await;
+        host.pool.sweep();
+        let gone = host.facts.borrow_mut().expire(host.clock.now());
+        if gone {
+            host.batcher.update(&host);
+        }
+    }
+}
--- /dev/null
+++ b/sequoiacrank-edge/src/lib.rs
@@ -0,0 +1,55 @@
+//! The data path of a host on one event loop: callers, endpoints, streams, stage work, stop.
+//!
+//! All decisions are calls of `sequoiacrank-kernel`; all names of the platform stand in
+//! `sequoiacrank-adapter`. One thread runs everything but the writing of logs.
+#![deny(missing_docs, rust_2018_idioms)]
+#![forbid(unsafe_code)]
+
+mod batcher;
+mod body;
+mod client;
+mod clock;
+mod exchange;
+mod facts;
+mod front;
+mod host;
+pub mod logs;
+mod metrics;
+mod peer;
+mod stages;
+mod stop;
+mod store;
+mod stream;
+
+use std::io;
+
+use quick_error::quick_error;
+use sequoiacrank_config::edge;
+use tokio::runtime;
+use tokio::task;
+
+quick_error! {
+    /// Why a host could not start.
+    #[derive(Debug)]
+    pub enum Error {
+        /// An address can't be listened on, or the event loop can't be made.
+        Io(what: &'static str, error: io::Error) {
+            display("{what}: {error}")
+            source(error)
+        }
+    }
+}
+
+/// Runs a host until it is asked to stop by SIGTERM or SIGINT and its requests have ended.
+///
+/// # Errors
+///
+/// When an address of `settings` can't be listened on.
+pub fn run(settings: edge::Settings) -> Result<(), Error> {
+    let runtime = runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|err| Error::Io("event loop", err))?;
+    let local = task::LocalSet::new();
+    let result = local.block_on(&runtime, host::run(settings));
+    logs::flush();
+    result
+}
--- /dev/null
+++ b/sequoiacrank-edge/src/logs.rs
@@ -0,0 +1,132 @@
+//! Structured logs on standard output, through a bounded queue that drops and counts.
+
+use std::fmt;
+use std::io;
+use std::io::Write as _;
+use std::sync;
+use std::sync::atomic;
+use std::thread;
+use std::time;
+
+use crossbeam::channel;
+use logforth::append;
+use logforth::kv;
+use logforth::record;
+use quick_error::quick_error;
+
+/// Lines that wait to be written at most.
+const QUEUE: usize = 4096;
+/// Time between two writes. Each wake-up of the writer costs processor time.
+const PAUSE: time::Duration = time::Duration::from_millis(200);
+
+quick_error! {
+    /// Why logs could not be set up.
+    #[derive(Debug)]
+    pub enum Error {
+        /// They were set up before.
+        Twice {
+            display("logs are set up already")
+        }
+        /// The writer can't be started.
+        Thread(error: io::Error) {
+            from()
+            display("the writer of logs can't be started: {error}")
+            source(error)
+        }
+    }
+}
+
+static DROPPED: atomic::AtomicU64 = atomic::AtomicU64::new(0);
+static LINES: sync::OnceLock<(channel::Sender<String>, channel::Receiver<String>)> =
+    sync::OnceLock::new();
+
+/// Lines that were left out because the queue was full.
+pub fn dropped() -> u64 {
+    DROPPED.load(atomic::Ordering::Relaxed)
+}
+
+#[derive(Debug)]
+struct Queue {
+    host: String,
+}
+
+struct Fields(serde_json::Map<String, serde_json::Value>);
+
+impl kv::Visitor for Fields {
+    fn visit(
+        &mut self,
+        key: kv::KeyView<'_>,
+        value: kv::ValueView<'_>,
+    ) -> Result<(), logforth::Error> {
+        let value = match (value.to_i64(), value.to_f64()) {
+            (Some(number), _) => number.into(),
+            (None, Some(number)) => number.into(),
+            (None, None) => value.to_string().into(),
+        };
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
+
+impl append::Append for Queue {
+    fn append(
+        &self,
+        record: &record::Record<'_>,
+        _: &[Box<dyn logforth::Diagnostic>],
+    ) -> Result<(), logforth::Error> {
+        let Some((lines, _)) = LINES.get() else { return Ok(()) };
+        if lines.is_full() {
+            DROPPED.fetch_add(1, atomic::Ordering::Relaxed);
+            return Ok(());
+        }
+        let mut fields = Fields(serde_json::Map::new());
+        let at = record.time().duration_since(time::UNIX_EPOCH).unwrap_or_default();
+        fields.0.insert("at".into(), (at.as_millis() as u64).into());
+        fields.0.insert("host".into(), self.host.clone().into());
+        fields.0.insert("kind".into(), record.target().into());
+        fields.0.insert("event".into(), fmt::format(record.payload()).into());
+        record.key_values().visit(&mut fields)?;
+        if lines.try_send(serde_json::Value::Object(fields.0).to_string()).is_err() {
+            DROPPED.fetch_add(1, atomic::Ordering::Relaxed);
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), logforth::Error> {
+        flush();
+        Ok(())
+    }
+}
+
+/// Writes all lines that wait.
+pub fn flush() {
+    let Some((_, lines)) = LINES.get() else { return };
+    let mut text = String::new();
+    for line in lines.try_iter() {
+        text.push_str(&line);
+        text.push('\n');
+    }
+    // Nobody may be reading; the host serves all the same.
+    let _ = io::stdout().write_all(text.as_bytes());
+}
+
+/// Sets up the logs of the process, once.
+///
+/// # Errors
+///
+/// When they were set up before, or the writer can't be started.
+pub fn setup(host: &str) -> Result<(), Error> {
+    LINES.set(channel::bounded(QUEUE)).map_err(|_| Error::Twice)?;
+    let queue = Queue { host: host.to_owned() };
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.append(queue))
+        .try_apply()
+        .map_err(|_| Error::Twice)?;
+    log::set_max_level(log::LevelFilter::Info);
+    let write = || loop {
+        thread::sleep(PAUSE);
+        flush();
+    };
+    thread::Builder::new().name("logs".into()).stack_size(64 << 10).spawn(write)?;
+    Ok(())
+}
--- /dev/null
+++ b/sequoiacrank-edge/src/peer/wire.rs
@@ -0,0 +1,267 @@
+//! What hosts say to each other: protocol buffers behind a length of four bytes.
+
+use bytes::Buf as _;
+use bytes::BufMut as _;
+use bytes::Bytes;
+use bytes::BytesMut;
+use prost::Message as _;
+use quick_error::quick_error;
+use sequoiacrank_adapter::store;
+use sequoiacrank_kernel::edge::records;
+
+quick_error! {
+    /// Why bytes of another host can't be read.
+    #[derive(Debug)]
+    pub enum Error {
+        /// They are not in the form that was agreed.
+        Form(error: prost::DecodeError) {
+            from()
+            display("a message can't be read: {error}")
+            source(error)
+        }
+        /// A message is longer than any can be.
+        Length(length: usize) {
+            display("a message of {length} bytes is too long")
+        }
+    }
+}
+
+/// Longest message in bytes: a configuration of many routes with all endpoints, and room.
+const LONGEST: usize = 16 << 20;
+/// Bytes of a length.
+const LENGTH: usize = 4;
+
+/// One message.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Frame {
+    /// Address at which the sender listens for other hosts.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// What it says.
+    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    pub body: Option<Body>,
+}
+
+/// What a message says.
+#[derive(Clone, PartialEq, prost::Oneof)]
+pub enum Body {
+    /// The sender lives.
+    #[prost(message, tag = "2")]
+    Pulse(Pulse),
+    /// Asks for records of a topic.
+    #[prost(message, tag = "3")]
+    Fetch(Fetch),
+    /// Records of a topic.
+    #[prost(message, tag = "4")]
+    Records(Records),
+    /// Asks for stage work.
+    #[prost(message, tag = "5")]
+    Ask(Ask),
+    /// Stage work is taken on.
+    #[prost(message, tag = "6")]
+    Taken(Taken),
+    /// Stage work is refused; nothing was done.
+    #[prost(message, tag = "7")]
+    Refused(Refused),
+    /// Stage work is done.
+    #[prost(message, tag = "8")]
+    Ready(Ready),
+    /// Stage work can't be done.
+    #[prost(message, tag = "9")]
+    Failed(Ticket),
+    /// Results are not needed any more.
+    #[prost(message, tag = "10")]
+    Release(Ticket),
+}
+
+/// Signs of life.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Pulse {
+    /// Whether the sender is leaving.
+    #[prost(bool, tag = "1")]
+    pub leaving: bool,
+    /// Offset behind the last record of the operators that the sender has.
+    #[prost(uint64, tag = "2")]
+    pub operators: u64,
+    /// The same for the endpoints' records.
+    #[prost(uint64, tag = "3")]
+    pub endpoints: u64,
+    /// Age of the endpoints' records in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub age: u64,
+    /// Addresses of hosts that the sender hears.
+    #[prost(string, repeated, tag = "5")]
+    pub hosts: Vec<String>,
+    /// Number of this pulse.
+    #[prost(uint64, tag = "6")]
+    pub number: u64,
+    /// Number of the last pulse that the sender got from the receiver.
+    #[prost(uint64, tag = "7")]
+    pub heard: u64,
+}
+
+/// Asks for records of a topic.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Fetch {
+    /// Whether it is about the endpoints' records, not the operators'.
+    #[prost(bool, tag = "1")]
+    pub endpoints: bool,
+    /// First offset.
+    #[prost(uint64, tag = "2")]
+    pub from: u64,
+}
+
+/// Records of a topic.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Records {
+    /// Whether they are the endpoints' records, not the operators'.
+    #[prost(bool, tag = "1")]
+    pub endpoints: bool,
+    /// The records.
+    #[prost(message, repeated, tag = "2")]
+    pub records: Vec<Record>,
+    /// Offset behind the last one.
+    #[prost(uint64, tag = "3")]
+    pub end: u64,
+    /// Age in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub age: u64,
+}
+
+/// One record of a topic.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Record {
+    /// Its key.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Its value, or none if the key was dropped.
+    #[prost(bytes = "bytes", optional, tag = "2")]
+    pub value: Option<Bytes>,
+    /// Its offset.
+    #[prost(uint64, tag = "3")]
+    pub offset: u64,
+}
+
+impl From<store::Record> for Record {
+    fn from(record: store::Record) -> Self {
+        Record { key: record.key, value: record.value, offset: record.offset }
+    }
+}
+
+impl From<Record> for store::Record {
+    fn from(wire: Record) -> Self {
+        records::Record { key: wire.key, value: wire.value, offset: wire.offset }
+    }
+}
+
+/// Asks for stage work. Times are in milliseconds from now.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Ask {
+    /// Names the work to the sender.
+    #[prost(uint64, tag = "1")]
+    pub ticket: u64,
+    /// The request's own id.
+    #[prost(string, tag = "2")]
+    pub request: String,
+    /// Key of the first pieces.
+    #[prost(string, tag = "3")]
+    pub key: String,
+    /// Its stages.
+    #[prost(message, repeated, tag = "4")]
+    pub stages: Vec<Work>,
+    /// Time until the whole request is due; negative if that is past.
+    #[prost(sint64, tag = "5")]
+    pub aim: i64,
+    /// Time until nobody waits.
+    #[prost(uint64, tag = "6")]
+    pub deadline: u64,
+    /// Time that the request needs after its stages.
+    #[prost(uint64, tag = "7")]
+    pub tail: u64,
+    /// Availability zone in which the results will be read.
+    #[prost(string, optional, tag = "8")]
+    pub zone: Option<String>,
+}
+
+/// One stage.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Work {
+    /// Service that does it.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Stages whose results it needs.
+    #[prost(uint32, repeated, tag = "2")]
+    pub after: Vec<u32>,
+    /// Size of one result in bytes.
+    #[prost(uint64, tag = "3")]
+    pub bytes: u64,
+    /// Number of pieces.
+    #[prost(uint32, tag = "4")]
+    pub pieces: u32,
+}
+
+/// Stage work is taken on.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Taken {
+    /// Name of the work.
+    #[prost(uint64, tag = "1")]
+    pub ticket: u64,
+    /// Milliseconds in which it is expected to be done.
+    #[prost(uint64, tag = "2")]
+    pub expected: u64,
+}
+
+/// Stage work is refused.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Refused {
+    /// Name of the work.
+    #[prost(uint64, tag = "1")]
+    pub ticket: u64,
+    /// Milliseconds after which there is room again.
+    #[prost(uint64, tag = "2")]
+    pub after: u64,
+    /// Milliseconds in which it would have been done.
+    #[prost(uint64, tag = "3")]
+    pub expected: u64,
+}
+
+/// Stage work is done.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Ready {
+    /// Name of the work.
+    #[prost(uint64, tag = "1")]
+    pub ticket: u64,
+    /// Results of the last stages.
+    #[prost(string, repeated, tag = "2")]
+    pub results: Vec<String>,
+}
+
+/// Names stage work.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Ticket {
+    /// Name of the work.
+    #[prost(uint64, tag = "1")]
+    pub ticket: u64,
+}
+
+/// Adds a message to `buffer`.
+pub fn encode(frame: &Frame, buffer: &mut BytesMut) {
+    let length = frame.encoded_len();
+    buffer.reserve(LENGTH + length);
+    buffer.put_u32(length as u32);
+    buffer.extend_from_slice(&frame.encode_to_vec());
+}
+
+/// Takes the next whole message out of `buffer`, if there is one.
+pub fn decode(buffer: &mut BytesMut) -> Result<Option<Frame>, Error> {
+    let Some(prefix) = buffer.first_chunk::<LENGTH>() else { return Ok(None) };
+    let length = u32::from_be_bytes(*prefix) as usize;
+    match () {
+        () if length > LONGEST => Err(Error::Length(length)),
+        () if buffer.len() < LENGTH + length => Ok(None),
+        () => {
+            buffer.advance(LENGTH);
+            Ok(Some(Frame::decode(buffer.split_to(length).freeze())?))
+        }
+    }
+}
--- /dev/null
+++ b/sequoiacrank-edge/src/stages.rs
@@ -0,0 +1,227 @@
+//! Asks for the stage work of requests: at the host that forms calls, or here if there is no other.
+
+use std::cell;
+use std::net;
+use std::rc;
+use std::time;
+
+use sequoiacrank_kernel::edge::stage;
+use sequoiacrank_kernel::id;
+use sequoiacrank_kernel::map;
+use tokio::sync::mpsc;
+
+use crate::host;
+use crate::peer::wire;
+
+/// Time in which a host says whether it takes work on: many times the way there and back, and short
+/// against the time of a call to a stage endpoint.
+const ACKNOWLEDGE: time::Duration = time::Duration::from_millis(150);
+/// Time beyond twice the expected after which the results are asked of another host.
+const OVERDUE: time::Duration = time::Duration::from_millis(500);
+/// Hosts that are asked for the work of one request.
+const HOSTS: usize = 3;
+
+/// What another host said about work.
+enum Word {
+    Taken(time::Duration),
+    Refused(time::Duration),
+    Ready(Vec<stage::Handle>),
+    Failed,
+}
+
+/// Stage work that this host asked others for.
+#[derive(Default)]
+pub struct Stages {
+    next: cell::Cell<u64>,
+    waiting: cell::RefCell<map::FastMap<u64, mpsc::UnboundedSender<Word>>>,
+}
+
+/// Why there are no results.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// They would come too late; there is room after that time.
+    Late(time::Duration),
+    /// The work failed on all hosts that were asked.
+    Failed,
+}
+
+enum Place {
+    Here(stage::RunId),
+    There(net::SocketAddr, u64),
+}
+
+/// Results of stage work. They are released when this is dropped.
+pub struct Results {
+    host: rc::Rc<host::Host>,
+    place: Place,
+    /// Their names.
+    pub handles: Vec<stage::Handle>,
+}
+
+impl Drop for Results {
+    fn drop(&mut self) {
+        match self.place {
+            Place::Here(run) => self.host.batcher.release(&self.host, run),
+            Place::There(address, ticket) => {
+                self.host.stages.waiting.borrow_mut().remove(&ticket);
+                let body = wire::Body::Release(wire::Ticket { ticket });
+                self.host.peers.send(&self.host, address, body);
+            }
+        }
+    }
+}
+
+impl Stages {
+    fn say(&self, ticket: u64, word: Word) {
+        if let Some(sender) = self.waiting.borrow().get(&ticket) {
+            // Whoever asked may have gone; then it gives the work up.
+            let _ = sender.send(word);
+        }
+    }
+
+    /// A host takes work on.
+    pub fn taken(&self, taken: wire::Taken) {
+        self.say(taken.ticket, Word::Taken(time::Duration::from_millis(taken.expected)));
+    }
+
+    /// A host refuses work.
+    pub fn refused(&self, refused: wire::Refused) {
+        self.say(refused.ticket, Word::Refused(time::Duration::from_millis(refused.after)));
+    }
+
+    /// Work is done.
+    pub fn ready(&self, ready: wire::Ready) {
+        self.say(ready.ticket, Word::Ready(ready.results));
+    }
+
+    /// Work can't be done.
+    pub fn failed(&self, ticket: u64) {
+        self.say(ticket, Word::Failed);
+    }
+}
+
+/// The host that forms calls, among those of which work may be asked and this one. All hosts agree on it as
+/// far as they agree on who lives.
+fn batcher(host: &host::Host, avoid: &[net::SocketAddr]) -> Option<net::SocketAddr> {
+    let own = host.settings.peer;
+    let mut hosts = host.peers.asked(host.clock.now());
+    hosts.retain(|address| !avoid.contains(address));
+    if !host.stop.is_leaving() || hosts.is_empty() {
+        hosts.push(own);
+    }
+    let first = hosts.into_iter().min_by_key(rank)?;
+    (first != own).then_some(first)
+}
+
+/// Place of a host in the order of batchers.
+fn rank(address: &net::SocketAddr) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(address.to_string().as_bytes())
+}
+
+/// Gets the results of `ask`.
+pub async fn obtain(host: &rc::Rc<host::Host>, ask: stage::Ask) -> Result<Results, Refusal> {
+    let mut avoid = Vec::new();
+    while avoid.len() < HOSTS {
+        let Some(address) = batcher(host, &avoid) else { return here(host, ask).await };
+        match there(host, &ask, address).await {
+            Some(result) => return result,
+            None => avoid.push(address),
+        }
+        if host.clock.now() >= ask.deadline {
+            return Err(Refusal::Failed);
+        }
+    }
+    here(host, ask).await
+}
+
+async fn here(host: &rc::Rc<host::Host>, ask: stage::Ask) -> Result<Results, Refusal> {
+    let (verdict, receiver) = host.batcher.ask(host, ask);
+    match verdict {
+        stage::Verdict::Refused { after, .. } => Err(Refusal::Late(after)),
+        stage::Verdict::Taken { run, .. } => {
+            let mut results =
+                Results { host: host.clone(), place: Place::Here(run), handles: Vec::new() };
+            match receiver.await {
+                Ok(Some(handles)) => {
+                    results.handles = handles;
+                    Ok(results)
+                }
+                Ok(None) | Err(_) => Err(Refusal::Failed),
+            }
+        }
+    }
+}
+
+/// Gets results from another host; `None` if it does not answer in time.
+async fn there(
+    host: &rc::Rc<host::Host>,
+    ask: &stage::Ask,
+    address: net::SocketAddr,
+) -> Option<Result<Results, Refusal>> {
+    let ticket = host.stages.next.get() + 1;
+    host.stages.next.set(ticket);
+    let (sender, mut words) = mpsc::unbounded_channel();
+    host.stages.waiting.borrow_mut().insert(ticket, sender);
+    let place = Place::There(address, ticket);
+    let mut results = Results { host: host.clone(), place, handles: Vec::new() };
+    let wire = encode(host.clock.now(), ticket, ask);
+    host.peers.send(host, address, wire::Body::Ask(wire));
+    let mut limit = ACKNOWLEDGE;
+    loop {
+        match tokio::time::timeout(limit, words.recv()).await {
+            Ok(Some(Word::Taken(expected))) => limit = expected * 2 + OVERDUE,
+            Ok(Some(Word::Refused(after))) => return Some(Err(Refusal::Late(after))),
+            Ok(Some(Word::Failed)) => return Some(Err(Refusal::Failed)),
+            Ok(Some(Word::Ready(handles))) => {
+                results.handles = handles;
+                return Some(Ok(results));
+            }
+            Ok(None) => return None,
+            Err(_) => {
+                let other = address.to_string();
+                log::info!(target: "stage", request = ask.request.as_str(), other = other.as_str(), limit = host::millis(limit); "batcher silent");
+                host.peers.pass_over(host.clock.now(), address);
+                return None;
+            }
+        }
+    }
+}
+
+fn encode(now: id::Time, ticket: u64, ask: &stage::Ask) -> wire::Ask {
+    let work = |work: &stage::Work| wire::Work {
+        service: work.service.clone(),
+        after: work.after.iter().map(|&stage| stage as u32).collect(),
+        bytes: work.bytes,
+        pieces: work.pieces,
+    };
+    wire::Ask {
+        ticket,
+        request: ask.request.clone(),
+        key: ask.key.clone(),
+        stages: ask.stages.iter().map(work).collect(),
+        aim: ask.aim.as_millis() as i64 - now.as_millis() as i64,
+        deadline: host::millis(ask.deadline.saturating_sub(now)),
+        tail: host::millis(ask.tail),
+        zone: ask.zone.clone(),
+    }
+}
+
+/// Reads the work that another host asks for.
+pub fn decode(now: id::Time, wire: wire::Ask) -> stage::Ask {
+    let work = |work: wire::Work| stage::Work {
+        service: work.service,
+        after: work.after.into_iter().map(|stage| stage as usize).collect(),
+        bytes: work.bytes,
+        pieces: work.pieces,
+    };
+    let aim = time::Duration::from_millis(wire.aim.unsigned_abs());
+    stage::Ask {
+        request: wire.request,
+        key: wire.key,
+        stages: wire.stages.into_iter().map(work).collect(),
+        aim: if wire.aim < 0 { now.saturating_sub(aim) } else { now + aim },
+        deadline: now + time::Duration::from_millis(wire.deadline),
+        tail: time::Duration::from_millis(wire.tail),
+        zone: wire.zone,
+    }
+}
--- /dev/null
+++ b/sequoiacrank-edge/src/stream.rs
@@ -0,0 +1,189 @@
+//! Streams of events: passed on one whole event after another, and continued where an endpoint broke off.
+
+use std::rc;
+use std::time;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http_body_util::BodyExt as _;
+use hyper::body;
+use sequoiacrank_kernel::code;
+use sequoiacrank_kernel::edge::fleet;
+use tokio::sync::mpsc;
+use tokio::task;
+
+use crate::body::Body;
+use crate::body::Broken;
+use crate::exchange;
+use crate::host;
+
+/// Events that wait for the caller to read.
+const QUEUE: usize = 16;
+/// Time without an event after which a stream that may be continued is taken to another endpoint: callers
+/// leave after a pause of two seconds.
+const STALL: time::Duration = time::Duration::from_millis(1000);
+
+/// Cuts a stream into whole events.
+#[derive(Debug, Default)]
+pub struct Events {
+    buffer: BytesMut,
+    /// Number of the last event that was taken out.
+    last: Option<u64>,
+}
+
+/// End of an event.
+const END: &[u8] = b"\n\n";
+
+impl Events {
+    /// Adds bytes as they came.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.buffer.extend_from_slice(bytes);
+    }
+
+    /// Takes the next whole event that was not taken before.
+    pub fn next(&mut self) -> Option<Bytes> {
+        loop {
+            let end = self.buffer.windows(END.len()).position(|window| window == END)?;
+            let event = self.buffer.split_to(end + END.len()).freeze();
+            match (number(&event), self.last) {
+                (Some(number), Some(last)) if number <= last => {}
+                (number, _) => {
+                    self.last = number.or(self.last);
+                    return Some(event);
+                }
+            }
+        }
+    }
+
+    /// Drops the part of an event that never came whole.
+    pub fn cut(&mut self) {
+        self.buffer.clear();
+    }
+
+    /// Takes what is left when the stream has ended as a whole.
+    pub fn rest(&mut self) -> Bytes {
+        self.buffer.split().freeze()
+    }
+
+    /// Number of the last event that was taken out.
+    pub fn last(&self) -> Option<u64> {
+        self.last
+    }
+}
+
+/// The number of an event.
+fn number(event: &[u8]) -> Option<u64> {
+    let line = event.split(|&byte| byte == b'\n').find_map(|line| line.strip_prefix(b"id:"))?;
+    std::str::from_utf8(line).ok()?.trim().parse().ok()
+}
+
+enum End {
+    /// The endpoint has ended the stream.
+    Whole,
+    /// The caller went away.
+    Gone,
+    /// The endpoint broke off or said nothing for too long.
+    Broken(&'static str),
+}
+
+/// Passes a stream on in the background.
+pub fn start(exchange: rc::Rc<exchange::Exchange>, upstream: exchange::Upstream) -> Body {
+    let (sender, receiver) = mpsc::channel(QUEUE);
+    task::spawn_local(run(exchange, upstream, sender));
+    Body::Pieces(receiver)
+}
+
+async fn run(
+    exchange: rc::Rc<exchange::Exchange>,
+    mut upstream: exchange::Upstream,
+    sender: mpsc::Sender<Result<Bytes, Broken>>,
+) {
+    let status = upstream.head.status;
+    let first = exchange.host.clock.now().saturating_sub(exchange.began);
+    let mut events = Events { last: exchange.head.resume, ..Events::default() };
+    let id = exchange.head.attempt.as_str();
+    loop {
+        let end = relay(&exchange, &mut upstream.body, &mut events, &sender).await;
+        match end {
+            End::Whole => {
+                upstream.flight.end(fleet::End::Good);
+                if let Some(kept) = upstream.marks.keep.filter(|_| exchange.route.repeatable()) {
+                    exchange.host.pool.keep(upstream.connection, kept);
+                }
+                exchange.answered(status, first);
+                return;
+            }
+            End::Gone => {
+                let took = host::millis(exchange.host.clock.now().saturating_sub(exchange.began));
+                log::info!(target: "request", id, took, code = code::Code::Cancelled.number(); "caller gone");
+                return;
+            }
+            End::Broken(reason) => {
+                let endpoint = upstream.flight.endpoint.clone();
+                log::info!(target: "request", id, endpoint = endpoint.as_str(), last = events.last(), reason; "stream broken");
+                upstream.flight.end(fleet::End::Lost);
+                // Ends the work at the endpoint before another one goes on with it.
+                drop(upstream.connection);
+                events.cut();
+                match resume(&exchange, events.last()).await {
+                    Some(next) => upstream = next,
+                    None => {
+                        log::warn!(target: "request", id, code = code::Code::OutcomeLost.number(); "stream ended early");
+                        // Fails only if the caller has gone as well.
+                        let _ = sender.send(Err(Broken::Endpoint)).await;
+                        return;
+                    }
+                }
+            }
+        }
+    }
+}
+
+async fn resume(exchange: &exchange::Exchange, last: Option<u64>) -> Option<exchange::Upstream> {
+    if !exchange.may_repeat() || !exchange.repeat() {
+        return None;
+    }
+    let upstream = exchange.resume(last.unwrap_or_default()).await.ok()?;
+    let good = upstream.head.status.is_success();
+    let status = upstream.head.status.as_u16();
+    let id = exchange.head.attempt.as_str();
+    log::info!(target: "request", id, endpoint = upstream.flight.endpoint.as_str(), last, status; "stream resumed");
+    good.then_some(upstream)
+}
+
+async fn relay(
+    exchange: &exchange::Exchange,
+    body: &mut body::Incoming,
+    events: &mut Events,
+    sender: &mpsc::Sender<Result<Bytes, Broken>>,
+) -> End {
+    loop {
+        let limit = match exchange.may_repeat() {
+            true => STALL.min(exchange.left()),
+            false => exchange.left(),
+        };
+        let frame = tokio::select! {
+            biased;
+            () = sender.closed() => return End::Gone,
+            frame = tokio::time::timeout(limit, body.frame()) => frame,
+        };
+        let bytes = match frame {
+            Err(_) => return End::Broken("no event in time"),
+            Ok(Some(Err(_))) => return End::Broken("connection lost"),
+            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            Ok(None) => {
+                let rest = events.rest();
+                let whole = rest.is_empty() || sender.send(Ok(rest)).await.is_ok();
+                return if whole { End::Whole } else { End::Gone };
+            }
+        };
+        events.push(&bytes);
+        while let Some(event) = events.next() {
+            // The endpoint has read its inputs before it made the first event.
+            exchange.results.borrow_mut().take();
+            if sender.send(Ok(event)).await.is_err() {
+                return End::Gone;
+            }
+        }
+    }
+}
--- a/sequoiacrank-kernel/src/code.rs
+++ b/sequoiacrank-kernel/src/code.rs
@@ -65,6 +65,8 @@
     KeyExpired = 1009, 409, "The Idempotency-Key is older than outcomes are kept", "Find out by other means whether the first call ran, then use a fresh key.";
     KeyPending = 1010, 409, "A call with this Idempotency-Key is running or its outcome is not known", "Repeat later with the same key; never with a fresh one.";
     KeyFuture = 1011, 400, "The time in the Idempotency-Key lies in the future", "Correct the clock that makes the keys.";
+    NoMatch = 1012, 404, "No route matches the host name and path", "Check both against the configuration.";
+    BodyLate = 1013, 408, "The body did not arrive in time", "Send it again.";
     TooSlow = 2001, 503, "The deadline can't be met, so the request was not started", "Come back after retry_after_ms or allow more time.";
     QueueFull = 2002, 503, "Too much work waits already", "Come back after retry_after_ms.";
     Deadline = 2003, 504, "The deadline passed", "Repeat it if it may be repeated.";
--- /dev/null
+++ b/sequoiacrank-kernel/src/edge.rs
@@ -0,0 +1,9 @@
+//! Decisions of a host on the event-loop data path: routes, endpoints, placement, stage work, budgets.
+
+pub mod budget;
+pub mod catalog;
+pub mod endpoint;
+pub mod fleet;
+pub mod pace;
+pub mod records;
+pub mod stage;
--- /dev/null
+++ b/sequoiacrank-kernel/src/edge/budget.rs
@@ -0,0 +1,58 @@
+//! The share of a host in the budget for requests that are sent once more.
+//!
+//! Answers a service that begins to fail: without a bound each failure makes one more request, and the
+//! service gets twice the load when it can bear least.
+
+use std::collections;
+use std::time;
+
+use crate::id;
+
+/// The bound that all hosts keep together.
+#[derive(Clone, Copy, Debug)]
+pub struct Bound {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// Repeats beyond that.
+    pub slack: f64,
+    /// Span over which both are counted.
+    pub span: time::Duration,
+}
+
+/// Part of the bound that hosts use together. The rest covers hosts that join within a span, and
+/// requests that are counted in the span before.
+const USED: f64 = 0.7;
+
+/// Counts of one service on one host.
+#[derive(Clone, Debug, Default)]
+pub struct Budget {
+    requests: collections::VecDeque<id::Time>,
+    repeats: collections::VecDeque<id::Time>,
+}
+
+impl Budget {
+    /// Notes a request of a caller.
+    pub fn request(&mut self, now: id::Time, bound: &Bound) {
+        trim(&mut self.requests, now, bound.span);
+        self.requests.push_back(now);
+    }
+
+    /// Takes one repeat out of the budget of one of `hosts` hosts, if there is one left.
+    pub fn repeat(&mut self, now: id::Time, bound: &Bound, hosts: usize) -> bool {
+        trim(&mut self.requests, now, bound.span);
+        trim(&mut self.repeats, now, bound.span);
+        let share = bound.slack / hosts.max(1) as f64;
+        let most = USED * (bound.ratio * self.requests.len() as f64 + share);
+        let left = (self.repeats.len() as f64) + 1.0 <= most;
+        if left {
+            self.repeats.push_back(now);
+        }
+        left
+    }
+}
+
+fn trim(times: &mut collections::VecDeque<id::Time>, now: id::Time, span: time::Duration) {
+    while times.front().is_some_and(|&at| now >= at + span) {
+        times.pop_front();
+    }
+}
--- /dev/null
+++ b/sequoiacrank-kernel/src/edge/endpoint.rs
@@ -0,0 +1,29 @@
+//! What an endpoint says of itself.
+
+use std::net;
+use std::time;
+
+use crate::id;
+
+/// The registration of one start of an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Endpoint {
+    /// Identity; a restart may keep it.
+    pub id: id::EndpointId,
+    /// Service that it belongs to.
+    pub service: id::ServiceId,
+    /// Where it listens.
+    pub address: net::SocketAddr,
+    /// Its availability zone.
+    pub zone: id::ZoneId,
+    /// Version of its software.
+    pub version: id::VersionId,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// How much longer it is cold.
+    pub cold: time::Duration,
+    /// Time of its start by its own clock, in milliseconds since 1970; 0 if it does not say.
+    pub born: u64,
+}
--- /dev/null
+++ b/sequoiacrank-kernel/src/edge/fleet.rs
@@ -0,0 +1,272 @@
+//! The endpoints that a host knows, what it believes of them, and the choice among them.
+//!
+//! Answers two loads. Sessions come back through any host and should meet the endpoint that has read their
+//! prompt: hosts choose by the same hash, so that they agree without a word. And endpoints fail while their
+//! registration says nothing: what a host saw itself counts before it, and a suspect endpoint gets one
+//! request at a time until it proved itself.
+
+use std::collections;
+use std::net;
+use std::time;
+
+use crate::edge::endpoint;
+use crate::edge::pace;
+use crate::id;
+use crate::map;
+
+/// Shortest time that a failed endpoint is passed over.
+const SUSPECT_MIN: time::Duration = time::Duration::from_millis(500);
+/// Longest time that a failed endpoint is passed over: it is found again that long after it recovered.
+const SUSPECT_MAX: time::Duration = time::Duration::from_secs(4);
+/// Weight of the newest answer in an endpoint's share of failures.
+const FAIL_WEIGHT: f64 = 0.2;
+/// Share of failures from which on others are preferred.
+const FAIL_SHARE: f64 = 0.25;
+/// Time without an answer, in multiples of the usual, from which on an endpoint counts as silent.
+const SILENT_TIMES: u32 = 4;
+/// Shortest time without an answer from which on an endpoint counts as silent.
+const SILENT_MIN: time::Duration = time::Duration::from_millis(400);
+/// Requests of a session's endpoint beyond the mean of all from which on another one takes the session.
+const CROWD: usize = 6;
+
+/// How a call to an endpoint ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// It answered.
+    Good,
+    /// It answered that it is full, or refused; it runs.
+    Full,
+    /// It answered with a failure of its own.
+    Bad,
+    /// It was not reached, or the connection broke.
+    Lost,
+    /// The host broke the call off; this says nothing about the endpoint.
+    Dropped,
+}
+
+/// An endpoint with what the host believes of it.
+#[derive(Clone, Debug)]
+struct Member {
+    entry: endpoint::Endpoint,
+    /// Calls of this host that have not ended, by their start, with whether they were answered.
+    calls: map::FastMap<u64, (id::Time, bool)>,
+    /// Share of failures among its last answers.
+    failing: f64,
+    /// Failures to reach it since it was last reached.
+    strikes: u32,
+    /// Time until which it is passed over.
+    passed: id::Time,
+    /// Usual time to the first byte of its answers.
+    usual: Option<time::Duration>,
+    pace: pace::Pace,
+    /// Time until which it is cold.
+    cold: id::Time,
+}
+
+impl Member {
+    fn silent(&self, now: id::Time) -> bool {
+        let usual = self.usual.unwrap_or(SILENT_MIN).max(SILENT_MIN / SILENT_TIMES);
+        let bound = (usual * SILENT_TIMES).max(SILENT_MIN);
+        self.calls.values().any(|&(at, answered)| !answered && now > at + bound)
+    }
+
+    /// Order of preference; lower is better.
+    fn grade(&self, now: id::Time) -> u8 {
+        match () {
+            () if now < self.passed => 3,
+            () if self.strikes > 0 && !self.calls.is_empty() => 3,
+            () if self.silent(now) => 2,
+            () if self.failing > FAIL_SHARE => 1,
+            () => 0,
+        }
+    }
+}
+
+/// What a request wants of its endpoint.
+#[derive(Clone, Debug, Default)]
+pub struct Want<'a> {
+    /// Hash of the session, the same on all hosts.
+    pub session: Option<u64>,
+    /// Endpoints that were tried.
+    pub avoid: &'a [id::EndpointId],
+    /// Availability zone that is preferred among equals.
+    pub zone: Option<&'a str>,
+    /// Requests that an endpoint may get from this host in a second; `None` means any number.
+    pub rate: Option<usize>,
+}
+
+/// All endpoints that a host knows.
+#[derive(Clone, Debug, Default)]
+pub struct Fleet {
+    members: collections::BTreeMap<id::EndpointId, Member>,
+    out: map::FastSet<id::ZoneId>,
+    next: u64,
+}
+
+/// A call that was begun; names it when it ends.
+pub type Call = u64;
+
+impl Fleet {
+    /// Takes over a registration. Returns whether the endpoint is new or started again.
+    pub fn register(&mut self, now: id::Time, entry: endpoint::Endpoint) -> bool {
+        let cold = now + entry.cold;
+        match self.members.get_mut(&entry.id) {
+            Some(member) if member.entry.born == entry.born => {
+                member.cold = cold;
+                member.entry = entry;
+                false
+            }
+            _ => {
+                let member = Member {
+                    entry: entry.clone(),
+                    calls: map::FastMap::default(),
+                    failing: 0.0,
+                    strikes: 0,
+                    passed: id::Time::ZERO,
+                    usual: None,
+                    pace: pace::Pace::default(),
+                    cold,
+                };
+                self.members.insert(entry.id, member);
+                true
+            }
+        }
+    }
+
+    /// Drops an endpoint. Returns whether it was known.
+    pub fn remove(&mut self, id: &str) -> bool {
+        self.members.remove(id).is_some()
+    }
+
+    /// Sets the availability zones to which nothing may be sent.
+    pub fn take_out(&mut self, zones: map::FastSet<id::ZoneId>) {
+        self.out = zones;
+    }
+
+    /// Whether nothing may be sent to `zone`.
+    pub fn is_out(&self, zone: &str) -> bool {
+        self.out.contains(zone)
+    }
+
+    /// The registration of an endpoint.
+    pub fn get(&self, id: &str) -> Option<&endpoint::Endpoint> {
+        self.members.get(id).map(|member| &member.entry)
+    }
+
+    /// All registrations.
+    pub fn entries(&self) -> impl Iterator<Item = &endpoint::Endpoint> {
+        self.members.values().map(|member| &member.entry)
+    }
+
+    /// Registrations of `service` to which new work may go.
+    pub fn usable<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = &'a endpoint::Endpoint> + 'a {
+        self.candidates(service).map(|member| &member.entry)
+    }
+
+    fn candidates<'a, 's>(
+        &'a self,
+        service: &'s str,
+    ) -> impl Iterator<Item = &'a Member> + use<'a, 's> {
+        self.members.values().filter(move |member| {
+            let entry = &member.entry;
+            entry.service == service && !entry.leaving && !self.out.contains(&entry.zone)
+        })
+    }
+
+    /// The endpoint of `service` that fits `want` best.
+    pub fn choose(
+        &self,
+        now: id::Time,
+        service: &str,
+        want: &Want<'_>,
+        draw: u64,
+    ) -> Option<&endpoint::Endpoint> {
+        let all: Vec<&Member> = self
+            .candidates(service)
+            .filter(|member| !want.avoid.contains(&member.entry.id))
+            .filter(|member| want.rate.is_none_or(|rate| member.pace.allows(now, rate)))
+            .collect();
+        let mean = all.iter().map(|member| member.calls.len()).sum::<usize>() / all.len().max(1);
+        let key = |member: &Member| {
+            let grade = member.grade(now);
+            let hash = rank(want.session.unwrap_or(draw), &member.entry.id);
+            match want.session {
+                Some(_) => {
+                    let crowded = member.calls.len() > 2 * mean + CROWD;
+                    (grade, u64::from(crowded), 0, hash)
+                }
+                None => {
+                    let far = want.zone.is_some_and(|zone| zone != member.entry.zone);
+                    (grade, member.calls.len() as u64, u64::from(far), hash)
+                }
+            }
+        };
+        all.into_iter().min_by_key(|member| key(member)).map(|member| &member.entry)
+    }
+
+    /// Notes that a call to an endpoint begins.
+    pub fn begin(&mut self, now: id::Time, id: &str) -> Call {
+        self.next += 1;
+        let call = self.next;
+        if let Some(member) = self.members.get_mut(id) {
+            member.calls.insert(call, (now, false));
+            member.pace.note(now);
+        }
+        call
+    }
+
+    /// Notes the first byte of the answer to a call.
+    pub fn answered(&mut self, now: id::Time, id: &str, call: Call) {
+        let Some(member) = self.members.get_mut(id) else { return };
+        let Some(state) = member.calls.get_mut(&call) else { return };
+        state.1 = true;
+        let took = now.saturating_sub(state.0);
+        member.usual = Some(member.usual.map_or(took, |usual| (usual * 7 + took) / 8));
+        member.strikes = 0;
+    }
+
+    /// Notes the end of a call.
+    pub fn end(&mut self, now: id::Time, id: &str, call: Call, end: End) {
+        let Some(member) = self.members.get_mut(id) else { return };
+        if member.calls.remove(&call).is_none() {
+            return;
+        }
+        let bad = match end {
+            End::Good | End::Full => 0.0,
+            End::Bad | End::Lost => 1.0,
+            End::Dropped => return,
+        };
+        member.failing += FAIL_WEIGHT * (bad - member.failing);
+        match end {
+            End::Lost => {
+                member.strikes = member.strikes.saturating_add(1);
+                let pause = SUSPECT_MIN * (1 << member.strikes.min(4).saturating_sub(1));
+                member.passed = member.passed.max(now + pause.min(SUSPECT_MAX));
+            }
+            _ => member.strikes = 0,
+        }
+    }
+
+    /// Calls of this host that run on an endpoint.
+    pub fn flight(&self, id: &str) -> usize {
+        self.members.get(id).map_or(0, |member| member.calls.len())
+    }
+
+    /// Whether an endpoint is cold.
+    pub fn is_cold(&self, now: id::Time, id: &str) -> bool {
+        self.members.get(id).is_some_and(|member| now < member.cold)
+    }
+
+    /// The endpoint at `address`.
+    pub fn at(&self, address: net::SocketAddr) -> Option<&endpoint::Endpoint> {
+        self.entries().find(|entry| entry.address == address)
+    }
+}
+
+/// Place of an endpoint in the order of a session; the same on all hosts.
+fn rank(session: u64, id: &str) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), session)
+}
--- /dev/null
+++ b/sequoiacrank-kernel/src/edge/records.rs
@@ -0,0 +1,121 @@
+//! The newest records of a topic of the platform's store, as one host knows them.
+//!
+//! They come from the store or from another host, in any order and more than once; a host moves forward only.
+
+use std::collections;
+
+use crate::id;
+
+/// The newest record of a key. Without a value the key was dropped.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Record<B> {
+    /// Its key.
+    pub key: String,
+    /// Its value.
+    pub value: Option<B>,
+    /// Its place in the topic.
+    pub offset: id::Offset,
+}
+
+/// The newest records of a topic.
+#[derive(Clone, Debug)]
+pub struct Records<B> {
+    newest: collections::BTreeMap<String, (id::Offset, Option<B>)>,
+    end: id::Offset,
+    /// Time as of which they were the newest ones in the store.
+    fresh: Option<id::Time>,
+}
+
+impl<B> Default for Records<B> {
+    fn default() -> Self {
+        Records { newest: collections::BTreeMap::new(), end: 0, fresh: None }
+    }
+}
+
+impl<B> Records<B>
+where
+    B: Clone + PartialEq,
+{
+    /// Takes over records up to `end`, as they stood at `at`. Returns the keys that changed.
+    pub fn merge(&mut self, records: Vec<Record<B>>, end: id::Offset, at: id::Time) -> Vec<String> {
+        let mut changed = Vec::new();
+        for record in records {
+            match self.newest.get(&record.key) {
+                Some((offset, _)) if *offset >= record.offset => {}
+                Some((_, value)) if *value == record.value => {
+                    self.newest.insert(record.key, (record.offset, record.value));
+                }
+                _ => {
+                    changed.push(record.key.clone());
+                    self.newest.insert(record.key, (record.offset, record.value));
+                }
+            }
+        }
+        self.advance(end, at);
+        changed
+    }
+
+    /// Takes over all records that there are up to `end`. A key that is not among them was dropped.
+    pub fn replace(
+        &mut self,
+        records: Vec<Record<B>>,
+        end: id::Offset,
+        at: id::Time,
+    ) -> Vec<String> {
+        let there: collections::BTreeSet<String> =
+            records.iter().map(|record| record.key.clone()).collect();
+        let mut changed = self.merge(records, end, at);
+        for (key, (offset, value)) in &mut self.newest {
+            if value.is_some() && *offset < end && !there.contains(key) {
+                *value = None;
+                *offset = end;
+                changed.push(key.clone());
+            }
+        }
+        changed
+    }
+
+    fn advance(&mut self, end: id::Offset, at: id::Time) {
+        if end >= self.end {
+            self.end = end;
+            self.fresh = Some(self.fresh.map_or(at, |fresh| fresh.max(at)));
+        }
+    }
+
+    /// Offset behind the last record that is known.
+    pub fn end(&self) -> id::Offset {
+        self.end
+    }
+
+    /// Time as of which the records are the newest ones, if any were read.
+    pub fn fresh(&self) -> Option<id::Time> {
+        self.fresh
+    }
+
+    /// The value of a key.
+    pub fn get(&self, key: &str) -> Option<&B> {
+        self.newest.get(key).and_then(|(_, value)| value.as_ref())
+    }
+
+    /// The offset of a key's newest record.
+    pub fn offset(&self, key: &str) -> Option<id::Offset> {
+        self.newest.get(key).map(|(offset, _)| *offset)
+    }
+
+    /// Keys with values.
+    pub fn iter(&self) -> impl Iterator<Item = (&String, &B)> {
+        self.newest.iter().filter_map(|(key, (_, value))| Some((key, value.as_ref()?)))
+    }
+
+    /// Records from an offset on, dropped keys included.
+    pub fn since(&self, from: id::Offset) -> Vec<Record<B>> {
+        let newer = self.newest.iter().filter(|(_, (offset, _))| *offset >= from);
+        newer
+            .map(|(key, (offset, value))| Record {
+                key: key.clone(),
+                value: value.clone(),
+                offset: *offset,
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/sequoiacrank-kernel/src/edge/stage/lane.rs
@@ -0,0 +1,430 @@
+//! The queue of one stage service and the slots of its endpoints.
+
+use std::time;
+
+use crate::edge::catalog;
+use crate::edge::endpoint;
+use crate::edge::stage;
+use crate::id;
+use crate::map;
+
+/// Time between two looks at calls that take too long.
+pub const TICK: time::Duration = time::Duration::from_millis(25);
+/// Time over twice the expected at which a call counts as overdue.
+pub const OVERDUE_EXTRA: time::Duration = time::Duration::from_millis(150);
+/// Longest wait in the queue at which work is taken on that can't be in time any more. Longer queues
+/// would make others late as well.
+pub const LATE_WAIT: time::Duration = time::Duration::from_millis(60);
+/// Time that a piece with a large result waits for an endpoint in the zone where it will be read. Half of
+/// the usual time between two free slots of one endpoint.
+const ZONE_WAIT: time::Duration = time::Duration::from_millis(80);
+/// Size from which on a result is worth that wait, in bytes.
+const LARGE: u64 = 500_000;
+/// Ratio of the time of calls to the expected from which on an endpoint is slow.
+const SLOW: f64 = 1.7;
+/// Weight of the newest call in that ratio.
+const PACE_WEIGHT: f64 = 0.4;
+/// Time after which a slow endpoint gets one call to show whether it still is.
+const PROBE: time::Duration = time::Duration::from_secs(2);
+/// Time that a full endpoint is passed over.
+const FULL_PAUSE: time::Duration = time::Duration::from_millis(60);
+/// Shortest and longest time that a lost endpoint is passed over.
+const LOST_PAUSE: (time::Duration, time::Duration) =
+    (time::Duration::from_millis(400), time::Duration::from_secs(3));
+/// Weight of the newest call in the mean number of pieces in a call.
+const FILL_WEIGHT: f64 = 0.1;
+
+/// Time after which a call is broken off.
+pub fn limit(expected: time::Duration) -> time::Duration {
+    expected * 6 + time::Duration::from_secs(1)
+}
+
+/// Pieces of one stage of one run.
+#[derive(Clone, Debug)]
+pub struct Group {
+    /// The run.
+    pub run: stage::RunId,
+    /// The stage.
+    pub stage: usize,
+    /// Numbers of its pieces.
+    pub pieces: std::collections::VecDeque<u32>,
+    /// Whether the run will not be in time.
+    pub late: bool,
+    /// Time at which the stage is due for the run to be in time.
+    pub due: id::Time,
+    /// Time at which it was queued.
+    pub since: id::Time,
+    /// Size of one result in bytes.
+    pub bytes: u64,
+    /// Availability zone in which the results will be read.
+    pub zone: Option<id::ZoneId>,
+}
+
+/// A piece that is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Piece {
+    /// The run.
+    pub run: stage::RunId,
+    /// The stage.
+    pub stage: usize,
+    /// Its number.
+    pub number: u32,
+    /// Size of its result in bytes.
+    pub bytes: u64,
+}
+
+#[derive(Clone, Debug)]
+struct Slot {
+    zone: id::ZoneId,
+    born: u64,
+    /// Calls in progress.
+    flight: u32,
+    /// Time at which the last of them is expected to end.
+    free: id::Time,
+    /// Time at which the last one was sent.
+    used: id::Time,
+    /// Memory that results take, in bytes.
+    held: u64,
+    /// Results that may be freed, and their size in bytes.
+    freeing: Vec<stage::Handle>,
+    freeable: u64,
+    /// Time since which the first of them waits.
+    waiting: Option<id::Time>,
+    /// Time of calls in proportion to the expected.
+    pace: f64,
+    strikes: u32,
+    /// Time until which it is passed over.
+    passed: id::Time,
+}
+
+/// The queue of one stage service.
+pub struct Lane {
+    /// How its endpoints work.
+    pub batch: catalog::Batch,
+    /// Pieces of runs that will be queued when the stages before are done.
+    pub coming: usize,
+    slots: map::FastMap<id::EndpointId, Slot>,
+    groups: Vec<Group>,
+    queued: usize,
+    /// Mean number of pieces in a call.
+    fill: f64,
+}
+
+impl Lane {
+    /// An empty queue.
+    pub fn new(batch: catalog::Batch) -> Self {
+        Lane {
+            batch,
+            coming: 0,
+            slots: map::FastMap::default(),
+            groups: Vec::new(),
+            queued: 0,
+            fill: 1.0,
+        }
+    }
+
+    /// Takes over the endpoints to which calls may go.
+    pub fn set_endpoints(&mut self, entries: &[&endpoint::Endpoint]) {
+        let known = |id: &str, born: u64| entries.iter().any(|e| e.id == id && e.born == born);
+        self.slots.retain(|id, slot| known(id, slot.born));
+        for entry in entries {
+            self.slots.entry(entry.id.clone()).or_insert_with(|| Slot {
+                zone: entry.zone.clone(),
+                born: entry.born,
+                flight: 0,
+                free: id::Time::ZERO,
+                used: id::Time::ZERO,
+                held: 0,
+                freeing: Vec::new(),
+                freeable: 0,
+                waiting: None,
+                pace: 1.0,
+                strikes: 0,
+                passed: id::Time::ZERO,
+            });
+        }
+    }
+
+    /// Queues pieces by the time at which they are due; those that will be late come last.
+    pub fn queue(&mut self, group: Group) {
+        if group.pieces.is_empty() {
+            return;
+        }
+        let key = (group.late, group.due);
+        let at = self.groups.partition_point(|other| (other.late, other.due) <= key);
+        self.queued += group.pieces.len();
+        self.groups.insert(at, group);
+    }
+
+    /// Queues pieces that were sent before, together with others of the same stage that wait again.
+    pub fn queue_again(&mut self, group: Group) {
+        let same = |other: &&mut Group| other.run == group.run && other.stage == group.stage;
+        match self.groups.iter_mut().find(same) {
+            Some(other) => {
+                self.queued += group.pieces.len();
+                other.pieces.extend(group.pieces);
+            }
+            None => self.queue(group),
+        }
+    }
+
+    /// Takes a run's pieces out of the queue.
+    pub fn drop_run(&mut self, run: stage::RunId) {
+        self.groups.retain(|group| group.run != run);
+        self.queued = self.groups.iter().map(|group| group.pieces.len()).sum();
+    }
+
+    /// Takes one piece out of the queue, if it waits there.
+    pub fn drop_piece(&mut self, run: stage::RunId, stage: usize, piece: u32) {
+        let mut dropped = 0;
+        for group in self.groups.iter_mut().filter(|it| it.run == run && it.stage == stage) {
+            let before = group.pieces.len();
+            group.pieces.retain(|&other| other != piece);
+            dropped += before - group.pieces.len();
+        }
+        self.queued -= dropped;
+        if dropped > 0 {
+            self.groups.retain(|group| !group.pieces.is_empty());
+        }
+    }
+
+    fn mean(&self) -> time::Duration {
+        self.batch.call + self.batch.piece.mul_f64(self.fill)
+    }
+
+    fn serving(&self, now: id::Time) -> usize {
+        self.slots.values().filter(|slot| now >= slot.passed && slot.pace < SLOW).count()
+    }
+
+    /// Time between two slots that get free.
+    fn gap(&self, now: id::Time) -> time::Duration {
+        let slots = self.serving(now) as u32 * self.batch.slots.max(1);
+        self.mean() / slots.max(1)
+    }
+
+    /// Time that a piece which comes now waits for a slot.
+    pub fn wait(&self, now: id::Time) -> time::Duration {
+        self.wait_for(now, self.queued)
+    }
+
+    fn wait_for(&self, now: id::Time, ahead: usize) -> time::Duration {
+        let idle = |slot: &&Slot| now >= slot.passed && slot.pace < SLOW;
+        let free =
+            self.slots.values().filter(idle).map(|slot| match slot.flight < self.batch.slots {
+                true => time::Duration::ZERO,
+                false => slot.free.saturating_sub(now),
+            });
+        let first = free.min().unwrap_or(self.mean());
+        first + self.gap(now) * (ahead / self.batch.pieces.max(1)) as u32
+    }
+
+    /// Time from the start of a stage that begins in `start` to its end.
+    pub fn time(&self, now: id::Time, start: time::Duration) -> time::Duration {
+        let wait = match start.is_zero() {
+            true => self.wait(now),
+            false => {
+                let ahead = self.wait_for(now, self.queued + self.coming);
+                ahead.saturating_sub(start).max(self.gap(now) / 2)
+            }
+        };
+        wait + self.mean()
+    }
+
+    /// Time that a stage usually takes.
+    pub fn usual(&self) -> time::Duration {
+        self.mean() + self.mean() / (2 * self.slots.len().max(1) as u32)
+    }
+
+    /// Whether a slow endpoint would be done sooner than the queue gets to the others.
+    fn helps(&self, now: id::Time, slot: &Slot) -> bool {
+        if slot.pace < SLOW {
+            return true;
+        }
+        if now > slot.used + PROBE {
+            return true;
+        }
+        if self.serving(now) == 0 {
+            return true;
+        }
+        let calls = self.queued.div_ceil(self.batch.pieces.max(1)) as u32;
+        self.mean().mul_f64(slot.pace) < self.mean() + self.gap(now) * calls
+    }
+
+    fn is_free(&self, now: id::Time, slot: &Slot) -> bool {
+        let most = match slot.strikes {
+            0 => self.batch.slots,
+            _ => 1,
+        };
+        now >= slot.passed && slot.flight < most && self.helps(now, slot)
+    }
+
+    /// Forms a call for the best free slot, if there is one and there is work for it.
+    pub fn fill(&mut self, now: id::Time) -> Option<(id::EndpointId, Vec<Piece>)> {
+        if self.groups.is_empty() {
+            return None;
+        }
+        let mut free: Vec<(&id::EndpointId, &Slot)> =
+            self.slots.iter().filter(|(_, slot)| self.is_free(now, slot)).collect();
+        free.sort_by(|(a, x), (b, y)| {
+            (x.strikes, x.pace > SLOW, x.held, *a)
+                .partial_cmp(&(y.strikes, y.pace > SLOW, y.held, *b))
+                .unwrap_or(std::cmp::Ordering::Equal)
+        });
+        let free: Vec<id::EndpointId> = free.into_iter().map(|(id, _)| id.clone()).collect();
+        for id in free {
+            let pieces = self.take(now, &id);
+            if !pieces.is_empty() {
+                return Some((id, pieces));
+            }
+        }
+        None
+    }
+
+    /// Whether a group goes to an endpoint in `zone` now, or waits for one where it will be read.
+    fn fits(&self, now: id::Time, group: &Group, zone: &str) -> bool {
+        let Some(wanted) = group.zone.as_deref().filter(|_| group.bytes >= LARGE) else {
+            return true;
+        };
+        wanted == zone
+            || now >= group.since + ZONE_WAIT
+            || !self.slots.values().any(|slot| slot.zone == wanted && now >= slot.passed)
+    }
+
+    fn take(&mut self, now: id::Time, id: &str) -> Vec<Piece> {
+        let mut pieces = Vec::new();
+        let Some(slot) = self.slots.get(id) else { return pieces };
+        let (zone, mut held) = (slot.zone.clone(), slot.held);
+        // An endpoint that was lost or slow shows with little whether it is back.
+        let most = match slot.strikes > 0 || slot.pace > SLOW {
+            true => self.batch.pieces.div_ceil(4),
+            false => self.batch.pieces,
+        };
+        let mut at = 0;
+        while at < self.groups.len() && pieces.len() < most {
+            if !self.fits(now, &self.groups[at], &zone) {
+                at += 1;
+                continue;
+            }
+            let group = &mut self.groups[at];
+            while pieces.len() < most && held + group.bytes <= self.batch.memory {
+                let Some(number) = group.pieces.pop_front() else { break };
+                held += group.bytes;
+                let (run, stage, bytes) = (group.run, group.stage, group.bytes);
+                pieces.push(Piece { run, stage, number, bytes });
+            }
+            match group.pieces.is_empty() {
+                true => drop(self.groups.remove(at)),
+                false => at += 1,
+            }
+        }
+        self.queued -= pieces.len();
+        if pieces.is_empty() {
+            return pieces;
+        }
+        self.fill += FILL_WEIGHT * (pieces.len() as f64 - self.fill);
+        let took = self.batch.call + self.batch.piece * pieces.len() as u32;
+        if let Some(slot) = self.slots.get_mut(id) {
+            slot.flight += 1;
+            slot.held = held;
+            slot.used = now;
+            slot.free = now + took.mul_f64(slot.pace.max(1.0));
+        }
+        pieces
+    }
+
+    /// Notes the answer to a call.
+    pub fn answered(
+        &mut self,
+        _now: id::Time,
+        id: &str,
+        took: time::Duration,
+        expected: time::Duration,
+    ) {
+        self.ended(id);
+        let Some(slot) = self.slots.get_mut(id) else { return };
+        slot.strikes = 0;
+        slot.pace += PACE_WEIGHT * (ratio(took, expected) - slot.pace);
+    }
+
+    /// Notes that a call takes longer than expected.
+    pub fn slow(
+        &mut self,
+        _now: id::Time,
+        id: &str,
+        took: time::Duration,
+        expected: time::Duration,
+    ) {
+        if let Some(slot) = self.slots.get_mut(id) {
+            slot.pace = slot.pace.max(ratio(took, expected));
+        }
+    }
+
+    /// Notes the end of a call.
+    pub fn ended(&mut self, id: &str) {
+        if let Some(slot) = self.slots.get_mut(id) {
+            slot.flight = slot.flight.saturating_sub(1);
+        }
+    }
+
+    /// Notes that an endpoint is full.
+    pub fn full(&mut self, now: id::Time, id: &str) {
+        if let Some(slot) = self.slots.get_mut(id) {
+            slot.passed = slot.passed.max(now + FULL_PAUSE);
+        }
+    }
+
+    /// Notes that an endpoint failed a piece.
+    pub fn failed(&mut self, now: id::Time, id: &str) {
+        if let Some(slot) = self.slots.get_mut(id) {
+            slot.strikes = slot.strikes.max(1);
+            slot.passed = slot.passed.max(now + FULL_PAUSE);
+        }
+    }
+
+    /// Notes that an endpoint was not reached or broke off.
+    pub fn lost(&mut self, now: id::Time, id: &str) {
+        if let Some(slot) = self.slots.get_mut(id) {
+            slot.strikes = slot.strikes.saturating_add(1);
+            let pause = LOST_PAUSE.0 * (1 << slot.strikes.min(4).saturating_sub(1));
+            slot.passed = now + pause.min(LOST_PAUSE.1);
+        }
+    }
+
+    /// Takes the memory of a piece that has no result off an endpoint.
+    pub fn forget(&mut self, id: &str, bytes: u64) {
+        if let Some(slot) = self.slots.get_mut(id) {
+            slot.held = slot.held.saturating_sub(bytes);
+        }
+    }
+
+    /// Notes a result that nobody needs any more.
+    pub fn release(&mut self, id: &str, handle: stage::Handle, bytes: u64) {
+        if let Some(slot) = self.slots.get_mut(id) {
+            slot.freeing.push(handle);
+            slot.freeable += bytes;
+        }
+    }
+
+    /// Results that are to be freed now, by endpoint.
+    pub fn frees(&mut self, now: id::Time) -> Vec<(id::EndpointId, Vec<stage::Handle>)> {
+        let enough = self.batch.memory / stage::FREE_PART;
+        let mut frees = Vec::new();
+        for (id, slot) in &mut self.slots {
+            if slot.freeing.is_empty() {
+                continue;
+            }
+            let since = *slot.waiting.get_or_insert(now);
+            if slot.freeable >= enough || now >= since + stage::FREE_WITHIN {
+                slot.held = slot.held.saturating_sub(slot.freeable);
+                slot.freeable = 0;
+                slot.waiting = None;
+                frees.push((id.clone(), std::mem::take(&mut slot.freeing)));
+            }
+        }
+        frees
+    }
+}
+
+fn ratio(took: time::Duration, expected: time::Duration) -> f64 {
+    took.as_secs_f64() / expected.as_secs_f64().max(0.001)
+}
--- /dev/null
+++ b/sequoiacrank-kernel/src/edge/stage/run.rs
@@ -0,0 +1,210 @@
+//! The stage work of one request.
+
+use std::time;
+
+use crate::edge::stage;
+use crate::id;
+
+/// One stage of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Work {
+    /// Service that does it.
+    pub service: id::ServiceId,
+    /// Stages whose results it needs.
+    pub after: Vec<usize>,
+    /// Approximate size of one result in bytes.
+    pub bytes: u64,
+    /// Number of its pieces; 0 leaves the stage out.
+    pub pieces: u32,
+}
+
+/// The stage work that a request needs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Ask {
+    /// The request's own id.
+    pub request: String,
+    /// Key of the pieces that need no other results.
+    pub key: String,
+    /// Its stages.
+    pub stages: Vec<Work>,
+    /// Time at which the whole request is due to be in time.
+    pub aim: id::Time,
+    /// Time after which nobody waits for the answer.
+    pub deadline: id::Time,
+    /// Time that the request needs after its stages.
+    pub tail: time::Duration,
+    /// Availability zone in which its results are going to be read.
+    pub zone: Option<id::ZoneId>,
+}
+
+#[derive(Clone, Debug)]
+enum Piece {
+    Missing,
+    Made { endpoint: id::EndpointId, handle: stage::Handle },
+    Released,
+}
+
+/// The state of that work.
+pub struct Run {
+    /// What was asked for.
+    pub ask: Ask,
+    /// Whether it was taken on although it will not be in time.
+    pub late: bool,
+    /// Whether who asked was told of its end.
+    pub told: bool,
+    pieces: Vec<Vec<Piece>>,
+    started: Vec<bool>,
+    /// Times that each piece was sent in vain.
+    tries: Vec<Vec<u32>>,
+}
+
+/// A result: service, endpoint, handle and size in bytes.
+pub type Made = (id::ServiceId, id::EndpointId, stage::Handle, u64);
+
+impl Run {
+    /// Work that has not begun.
+    pub fn new(ask: Ask, late: bool) -> Self {
+        let pieces: Vec<Vec<Piece>> =
+            ask.stages.iter().map(|work| vec![Piece::Missing; work.pieces as usize]).collect();
+        let tries = pieces.iter().map(|pieces| vec![0; pieces.len()]).collect();
+        let started = vec![false; pieces.len()];
+        Run { ask, late, told: false, pieces, started, tries }
+    }
+
+    /// Number of pieces of a stage.
+    pub fn count(&self, stage: usize) -> u32 {
+        self.ask.stages[stage].pieces
+    }
+
+    /// Whether the pieces of a stage were queued.
+    pub fn started(&self, stage: usize) -> bool {
+        self.started[stage]
+    }
+
+    /// Whether a piece has no result yet.
+    pub fn is_missing(&self, stage: usize, piece: u32) -> bool {
+        let piece = self.pieces.get(stage).and_then(|pieces| pieces.get(piece as usize));
+        matches!(piece, Some(Piece::Missing))
+    }
+
+    fn is_whole(&self, stage: usize) -> bool {
+        self.pieces[stage].iter().all(|piece| !matches!(piece, Piece::Missing))
+    }
+
+    /// Stages that can start now; they count as started from here on.
+    pub fn startable(&mut self) -> Vec<usize> {
+        let ready = |stage: &usize| {
+            let after = &self.ask.stages[*stage].after;
+            !self.started[*stage] && after.iter().all(|&before| self.is_whole(before))
+        };
+        let stages: Vec<usize> = (0..self.pieces.len()).filter(ready).collect();
+        for &stage in &stages {
+            self.started[stage] = true;
+        }
+        stages
+    }
+
+    /// Whether all pieces have results.
+    pub fn done(&self) -> bool {
+        (0..self.pieces.len()).all(|stage| self.is_whole(stage))
+    }
+
+    /// Notes a result.
+    pub fn made(
+        &mut self,
+        stage: usize,
+        piece: u32,
+        endpoint: id::EndpointId,
+        handle: stage::Handle,
+    ) {
+        if let Some(slot) = self.pieces[stage].get_mut(piece as usize) {
+            *slot = Piece::Made { endpoint, handle };
+        }
+    }
+
+    fn handles(&self, stage: usize) -> impl Iterator<Item = stage::Handle> + '_ {
+        self.pieces[stage].iter().filter_map(|piece| match piece {
+            Piece::Made { handle, .. } => Some(handle.clone()),
+            _ => None,
+        })
+    }
+
+    /// What a piece of a stage works on.
+    pub fn input(&self, stage: usize) -> stage::Input {
+        let after = &self.ask.stages[stage].after;
+        let results: Vec<_> = after.iter().flat_map(|&before| self.handles(before)).collect();
+        match results.is_empty() {
+            true => stage::Input::Key(self.ask.key.clone()),
+            false => stage::Input::Results(results),
+        }
+    }
+
+    fn followers(&self, stage: usize) -> impl Iterator<Item = usize> + '_ {
+        let needs = move |next: &usize| self.ask.stages[*next].after.contains(&stage);
+        (0..self.pieces.len()).filter(needs)
+    }
+
+    /// Results of the stages that no other stage needs.
+    pub fn results(&self) -> Vec<stage::Handle> {
+        let last = |stage: &usize| self.followers(*stage).next().is_none();
+        (0..self.pieces.len()).filter(last).flat_map(|stage| self.handles(stage)).collect()
+    }
+
+    /// Time that the longest chain of stages behind `stage` takes, the stage itself included.
+    pub fn downstream<F>(&self, stage: usize, usual: F) -> time::Duration
+    where
+        F: Fn(&str) -> time::Duration + Copy,
+    {
+        let own = match self.count(stage) {
+            0 => time::Duration::ZERO,
+            _ => usual(&self.ask.stages[stage].service),
+        };
+        let rest = self.followers(stage).map(|next| self.downstream(next, usual)).max();
+        own + rest.unwrap_or_default()
+    }
+
+    fn take(&mut self, stage: usize, into: &mut Vec<Made>) {
+        let work = &self.ask.stages[stage];
+        for slot in &mut self.pieces[stage] {
+            if let Piece::Made { endpoint, handle } = slot {
+                let (endpoint, handle) = (std::mem::take(endpoint), std::mem::take(handle));
+                into.push((work.service.clone(), endpoint, handle, work.bytes));
+                *slot = Piece::Released;
+            }
+        }
+    }
+
+    /// Results that no stage will need any more; they count as released from here on.
+    pub fn used(&mut self) -> Vec<Made> {
+        let mut made = Vec::new();
+        for stage in 0..self.pieces.len() {
+            let mut followers = self.followers(stage).peekable();
+            let used = followers.peek().is_some() && followers.all(|next| self.is_whole(next));
+            drop(followers);
+            if used {
+                self.take(stage, &mut made);
+            }
+        }
+        made
+    }
+
+    /// All results; they count as released from here on.
+    pub fn all(&mut self) -> Vec<Made> {
+        let mut made = Vec::new();
+        for stage in 0..self.pieces.len() {
+            self.take(stage, &mut made);
+        }
+        made
+    }
+
+    /// Notes that a piece was sent in vain. Returns how often that happened.
+    pub fn vain(&mut self, stage: usize, piece: u32) -> u32 {
+        match self.tries[stage].get_mut(piece as usize) {
+            Some(tries) => {
+                *tries += 1;
+                *tries
+            }
+            None => 0,
+        }
+    }
+}
--- a/sequoiacrank-kernel/src/lib.rs
+++ b/sequoiacrank-kernel/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod agree;
 pub mod code;
+pub mod edge;
 pub mod id;
 pub mod log;
 pub mod map;
--- a/src/args.rs
+++ b/src/args.rs
@@ -29,6 +29,12 @@
         #[arg(long, value_name = "FILE")]
         settings: path::PathBuf,
     },
+    /// Runs a host on the users' platform until it gets SIGTERM or SIGINT.
+    Edge {
+        /// Settings, JSON with comments; without it, the file that the platform names.
+        #[arg(long, value_name = "FILE")]
+        settings: Option<path::PathBuf>,
+    },
     /// Checks declarations or settings and lists every problem as FILE:LINE: CODE: FIELD: DETAIL.
     Check {
         /// Files; several files of declarations are checked as one whole.
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod apply;
 pub mod check;
+pub mod edge;
 pub mod explain;
 pub mod measure;
 pub mod quickstart;
--- a/src/run.rs
+++ b/src/run.rs
@@ -12,6 +12,7 @@
         args::Command::Status { from, format } => command::status::run(from, *format),
         args::Command::Explain { code } => command::explain::run(code),
         args::Command::Serve { settings } => command::serve::run(settings),
+        args::Command::Edge { settings } => command::edge::run(settings.as_deref()),
         args::Command::Standin(standin) => command::standin::run(standin),
         args::Command::Measure { what } => command::measure::run(what),
         args::Command::Quickstart { format } => command::quickstart::run(*format),
