--- a/sequoiacrank-edge/src/batcher.rs
+++ b/sequoiacrank-edge/src/batcher.rs
@@ -61,7 +61,7 @@
         ask: stage::Ask,
     ) -> (stage::Verdict, oneshot::Receiver<Option<Vec<stage::Handle>>>) {
         let (sender, receiver) = oneshot::channel();
-        let verdict = self.board.borrow_mut().ask(host.clock.now(), ask);
+        let verdict = self.decide(host.clock.now(), ask);
         if let stage::Verdict::Taken { run, .. } = verdict {
             self.owners.borrow_mut().insert(run, Owner::Own(sender));
         }
@@ -73,7 +73,7 @@
     pub fn asked(&self, host: &rc::Rc<host::Host>, from: net::SocketAddr, wire: wire::Ask) {
         let now = host.clock.now();
         let ticket = wire.ticket;
-        let verdict = self.board.borrow_mut().ask(now, crate::stages::decode(now, wire));
+        let verdict = self.decide(now, crate::stages::decode(now, wire));
         let body = match verdict {
             stage::Verdict::Taken { run, expected } => {
                 self.owners.borrow_mut().insert(run, Owner::Other(from, ticket));
@@ -90,6 +90,20 @@
         self.pump(host);
     }
 
+    fn decide(&self, now: id::Time, ask: stage::Ask) -> stage::Verdict {
+        let left = |time: id::Time| time.as_millis() as i64 - now.as_millis() as i64;
+        let (id, rank, tail) = (ask.request.clone(), ask.rank, host::millis(ask.tail));
+        let (aim, deadline) = (left(ask.aim), left(ask.deadline));
+        let mut board = self.board.borrow_mut();
+        let verdict = board.ask(now, ask);
+        if let stage::Verdict::Refused { after, expected } = verdict {
+            let (after, expected) = (host::millis(after), host::millis(expected));
+            let runs = board.len();
+            log::info!(target: "stage", id = id.as_str(), rank, aim, deadline, tail, expected, after, runs; "refused");
+        }
+        verdict
+    }
+
     /// Gives up work of this host, or frees its results.
     pub fn release(&self, host: &rc::Rc<host::Host>, run: stage::RunId) {
         self.owners.borrow_mut().remove(&run);
--- a/sequoiacrank-edge/src/exchange.rs
+++ b/sequoiacrank-edge/src/exchange.rs
@@ -89,6 +89,7 @@
     pub(crate) began: id::Time,
     pub(crate) deadline: id::Time,
     aim: id::Time,
+    rank: u32,
     pub(crate) results: cell::RefCell<Option<stages::Results>>,
     tried: cell::RefCell<Vec<id::EndpointId>>,
     sends: cell::Cell<u32>,
@@ -229,15 +230,14 @@
     let now = host.clock.now();
     host.facts.borrow_mut().budgets.entry(service.clone()).or_default().request(now, &host.bound());
     let budget = head.budget.map_or(route.timeout, |budget| budget.min(route.timeout));
-    // A caller that comes back says how much of its time is left.
-    let spent = head.budget.map_or(time::Duration::ZERO, |left| route.timeout.saturating_sub(left));
     Ok(Exchange {
         host: host.clone(),
         passed: call::passed_on(&parts.headers),
         method: parts.method,
         uri: parts.uri,
         deadline: began + budget,
-        aim: began + route.target.saturating_sub(spent),
+        aim: began + route.target,
+        rank: catalog.rank(&route, workspace.as_deref()),
         head,
         route,
         service,
@@ -315,6 +315,7 @@
             stages: work,
             aim: self.aim,
             deadline: self.deadline,
+            rank: self.rank,
             tail,
             zone,
         };
@@ -521,13 +522,12 @@
 
     fn order(&self, endpoint: &str, resume: Option<u64>) -> http::Request<Bytes> {
         let results = self.results.borrow();
-        let rank = self.workspace.as_ref().and_then(|it| it.rank).unwrap_or(self.route.rank);
         let order = call::Order {
             endpoint,
             workspace: self.workspace.as_ref().map(|workspace| workspace.name.as_str()),
             budget: self.left(),
             results: results.as_ref().map_or(&[], |results| &results.handles),
-            urgency: self.route.affinity.then_some(rank),
+            urgency: self.route.affinity.then_some(self.rank),
             resume,
         };
         let mut request = http::Request::new(self.body.clone());
--- a/sequoiacrank-edge/src/peer/wire.rs
+++ b/sequoiacrank-edge/src/peer/wire.rs
@@ -181,6 +181,9 @@
     /// Availability zone in which the results will be read.
     #[prost(string, optional, tag = "8")]
     pub zone: Option<String>,
+    /// Rank of the request; 0 comes first.
+    #[prost(uint32, tag = "9")]
+    pub rank: u32,
 }
 
 /// One stage.
--- a/sequoiacrank-edge/src/stages.rs
+++ b/sequoiacrank-edge/src/stages.rs
@@ -201,6 +201,7 @@
         stages: ask.stages.iter().map(work).collect(),
         aim: ask.aim.as_millis() as i64 - now.as_millis() as i64,
         deadline: host::millis(ask.deadline.saturating_sub(now)),
+        rank: ask.rank,
         tail: host::millis(ask.tail),
         zone: ask.zone.clone(),
     }
@@ -221,6 +222,7 @@
         stages: wire.stages.into_iter().map(work).collect(),
         aim: if wire.aim < 0 { now.saturating_sub(aim) } else { now + aim },
         deadline: now + time::Duration::from_millis(wire.deadline),
+        rank: wire.rank,
         tail: time::Duration::from_millis(wire.tail),
         zone: wire.zone,
     }
--- a/sequoiacrank-kernel/src/edge/catalog.rs
+++ b/sequoiacrank-kernel/src/edge/catalog.rs
@@ -138,6 +138,9 @@
     pub idle: time::Duration,
 }
 
+/// Ranks of routes that are told apart within one rank of workspaces.
+const ROUTE_RANKS: u32 = 4;
+
 /// A whole configuration.
 #[derive(Clone, Debug)]
 pub struct Catalog {
@@ -147,6 +150,8 @@
     routes: map::FastMap<String, Vec<sync::Arc<Route>>>,
     services: map::FastMap<id::ServiceId, sync::Arc<Service>>,
     keys: map::FastMap<String, sync::Arc<Workspace>>,
+    /// Lowest rank of a workspace.
+    first: u32,
     /// Bounds on what callers may send.
     pub limits: Limits,
 }
@@ -169,7 +174,9 @@
         }
         let services =
             services.into_iter().map(|it| (it.name.clone(), sync::Arc::new(it))).collect();
-        Catalog { version, routes: hosts, services, keys: keys.into_iter().collect(), limits }
+        let first = keys.iter().filter_map(|(_, it)| it.rank).min().unwrap_or_default();
+        let keys = keys.into_iter().collect();
+        Catalog { version, routes: hosts, services, keys, first, limits }
     }
 
     /// The route with the longest prefix of `path` among those of `hostname`.
@@ -187,6 +194,12 @@
         self.services.values()
     }
 
+    /// Rank of a request: that of the workspace, counted from the first, goes before that of the route.
+    pub fn rank(&self, route: &Route, workspace: Option<&Workspace>) -> u32 {
+        let workspace = workspace.and_then(|it| it.rank).unwrap_or(self.first);
+        (workspace - self.first).saturating_mul(ROUTE_RANKS).saturating_add(route.rank)
+    }
+
     /// The workspace that holds `key`.
     pub fn workspace(&self, key: &str) -> Option<&sync::Arc<Workspace>> {
         self.keys.get(key)
--- a/sequoiacrank-kernel/src/edge/stage.rs
+++ b/sequoiacrank-kernel/src/edge/stage.rs
@@ -34,7 +34,12 @@
 /// Longest time between the release of a result and the call that frees it.
 const FREE_WITHIN: time::Duration = time::Duration::from_secs(1);
 /// Part of an endpoint's memory for results that may be released before they are freed at once.
-const FREE_PART: u64 = 5;
+const FREE_PART: u64 = 10;
+/// Time that a run of each rank must have to spare beyond that of the next more urgent one: more urgent
+/// work that comes later goes before it.
+const RANK_SPARE: time::Duration = time::Duration::from_millis(120);
+/// Bytes that a stage's results bring to the next stage from which on both are done in one zone.
+const LARGE: u64 = 500_000;
 
 /// What one item of a call works on.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -189,7 +194,7 @@
         let expected = self.estimate(now, &ask);
         let end = now + expected + ask.tail;
         let busy = self.wait(now, &ask);
-        let late = end > ask.aim;
+        let late = end + RANK_SPARE * ask.rank.min(lane::RANKS as u32) > ask.aim;
         let refused = match late {
             _ if end > ask.deadline => true,
             true => busy > lane::LATE_WAIT,
@@ -204,7 +209,7 @@
         let run = Run::new(ask, late);
         for (stage, work) in run.ask.stages.iter().enumerate() {
             if let Some(lane) = self.lanes.get_mut(&work.service) {
-                lane.coming += run.count(stage) as usize;
+                lane.expect(run.ask.rank, run.count(stage));
             }
         }
         self.runs.insert(id, run);
@@ -212,15 +217,16 @@
         Verdict::Taken { run: id, expected }
     }
 
-    /// Time in which the stages would be done, and whether any waits.
+    /// Time in which the stages would be done.
     fn estimate(&self, now: id::Time, ask: &Ask) -> time::Duration {
         let mut ends: Vec<time::Duration> = Vec::with_capacity(ask.stages.len());
-        for work in &ask.stages {
+        for (stage, work) in ask.stages.iter().enumerate() {
             let start = work.after.iter().filter_map(|&s| ends.get(s)).max().copied();
             let start = start.unwrap_or_default();
+            let due = ask.aim.saturating_sub(ask.tail + run::downstream(&ask.stages, stage, self));
             let took = match self.lanes.get(&work.service) {
                 _ if work.pieces == 0 => time::Duration::ZERO,
-                Some(lane) => lane.time(now, start),
+                Some(lane) => lane.time(now, start, due, ask.rank),
                 None => time::Duration::MAX / 4,
             };
             ends.push(start.saturating_add(took));
@@ -228,6 +234,40 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
+    /// Time that a stage of `service` usually takes.
+    fn usual(&self, service: &str) -> time::Duration {
+        self.lanes.get(service).map_or(time::Duration::ZERO, lane::Lane::usual)
+    }
+
+    /// The availability zone for stages of a run whose results are large together: the one where their
+    /// services have least to do.
+    fn home(&self, now: id::Time, services: &[&str]) -> Option<id::ZoneId> {
+        let lanes: Vec<_> = services.iter().filter_map(|it| self.lanes.get(*it)).collect();
+        let load = |zone: &str| -> Option<f64> {
+            lanes.iter().map(|lane| lane.load(now, zone)).sum::<Option<f64>>()
+        };
+        let zones = lanes.first()?.zones();
+        let loads = zones.into_iter().filter_map(|zone| Some((load(&zone)?, zone)));
+        let first = loads.min_by(|(a, _), (b, _)| a.total_cmp(b));
+        first.map(|(_, zone)| zone)
+    }
+
+    /// The availability zone in which a stage is best done.
+    fn zone(&self, now: id::Time, run: &Run, stage: usize) -> Option<id::ZoneId> {
+        let work = &run.ask.stages[stage];
+        let next: Vec<usize> = run::followers(&run.ask.stages, stage).collect();
+        let read: u64 = next.iter().map(|&next| u64::from(run.count(next))).sum();
+        let given = work.bytes * u64::from(work.pieces) * read;
+        let mut services: Vec<&str> = vec![&work.service];
+        services.extend(next.iter().map(|&next| run.ask.stages[next].service.as_str()));
+        match &run.home {
+            _ if next.is_empty() && work.bytes >= LARGE => run.ask.zone.clone(),
+            Some(home) => Some(home.clone()),
+            None if given >= LARGE => self.home(now, &services),
+            None => None,
+        }
+    }
+
     fn wait(&self, now: id::Time, ask: &Ask) -> time::Duration {
         let lanes = ask.stages.iter().filter(|work| work.pieces > 0);
         lanes
@@ -241,25 +281,9 @@
     fn advance(&mut self, now: id::Time, id: RunId) {
         let Some(run) = self.runs.get_mut(&id) else { return };
         for stage in run.startable() {
-            let service = run.ask.stages[stage].service.clone();
-            let rest = run.downstream(stage, |service| {
-                self.lanes.get(service).map_or(time::Duration::ZERO, lane::Lane::usual)
-            });
-            let due = run.ask.aim.saturating_sub(run.ask.tail + rest);
-            let Some(lane) = self.lanes.get_mut(&service) else { continue };
-            let count = run.count(stage);
-            lane.coming = lane.coming.saturating_sub(count as usize);
-            lane.queue(lane::Group {
-                run: id,
-                stage,
-                pieces: (0..count).collect(),
-                late: run.late,
-                due,
-                since: now,
-                bytes: run.ask.stages[stage].bytes,
-                zone: run.ask.zone.clone(),
-            });
+            self.start(now, id, stage);
         }
+        let Some(run) = self.runs.get_mut(&id) else { return };
         if run.done() && !run.told {
             run.told = true;
             self.commands.push(Command::Ready { run: id, results: run.results() });
@@ -267,6 +291,34 @@
         self.give_back(id);
     }
 
+    fn start(&mut self, now: id::Time, id: RunId, stage: usize) {
+        let Some(run) = self.runs.get(&id) else { return };
+        let zone = self.zone(now, run, stage);
+        let service = run.ask.stages[stage].service.clone();
+        let rest = run::downstream(&run.ask.stages, stage, self);
+        let due = run.ask.aim.saturating_sub(run.ask.tail + rest);
+        let (count, bytes, rank, late) =
+            (run.count(stage), run.ask.stages[stage].bytes, run.ask.rank, run.late);
+        let Some(lane) = self.lanes.get_mut(&service) else { return };
+        lane.expected(rank, count);
+        let pieces = (0..count).collect();
+        let since = now;
+        lane.queue(lane::Group {
+            run: id,
+            stage,
+            pieces,
+            late,
+            due,
+            rank,
+            since,
+            bytes,
+            zone: zone.clone(),
+        });
+        if let Some(run) = self.runs.get_mut(&id).filter(|run| !run.is_leaf(stage)) {
+            run.home = run.home.take().or(zone);
+        }
+    }
+
     /// Releases results that all later stages have used.
     fn give_back(&mut self, id: RunId) {
         let Some(run) = self.runs.get_mut(&id) else { return };
@@ -284,7 +336,7 @@
             let Some(lane) = self.lanes.get_mut(&work.service) else { continue };
             match run.started(stage) {
                 true => lane.drop_run(id),
-                false => lane.coming = lane.coming.saturating_sub(run.count(stage) as usize),
+                false => lane.expected(run.ask.rank, run.count(stage)),
             }
         }
         for (service, endpoint, handle, bytes) in run.all() {
@@ -347,20 +399,23 @@
     }
 
     fn requeue(&mut self, now: id::Time, id: RunId, stage: usize, piece: u32) {
-        let Some(run) = self.runs.get_mut(&id) else { return };
-        let service = run.ask.stages[stage].service.clone();
-        let Some(lane) = self.lanes.get_mut(&service) else { return };
+        let Some(run) = self.runs.get(&id) else { return };
+        let work = &run.ask.stages[stage];
         let group = lane::Group {
             run: id,
             stage,
             pieces: [piece].into(),
             late: run.late,
             due: now,
+            rank: run.ask.rank,
             since: now,
-            bytes: run.ask.stages[stage].bytes,
-            zone: run.ask.zone.clone(),
+            bytes: work.bytes,
+            zone: None,
         };
-        lane.queue_again(group);
+        let service = work.service.clone();
+        if let Some(lane) = self.lanes.get_mut(&service) {
+            lane.queue_again(group);
+        }
     }
 
     fn fail(&mut self, id: RunId) {
--- a/sequoiacrank-kernel/src/edge/stage/lane.rs
+++ b/sequoiacrank-kernel/src/edge/stage/lane.rs
@@ -15,11 +15,19 @@
 /// Longest wait in the queue at which work is taken on that can't be in time any more. Longer queues
 /// would make others late as well.
 pub const LATE_WAIT: time::Duration = time::Duration::from_millis(60);
-/// Time that a piece with a large result waits for an endpoint in the zone where it will be read. Half of
-/// the usual time between two free slots of one endpoint.
-const ZONE_WAIT: time::Duration = time::Duration::from_millis(80);
-/// Size from which on a result is worth that wait, in bytes.
-const LARGE: u64 = 500_000;
+/// Longest time that a piece waits for an endpoint in the zone where its inputs lie or its result will be
+/// read: about the time of a call, after which an endpoint of that zone has been free.
+const ZONE_WAIT: time::Duration = time::Duration::from_millis(200);
+/// Part of the time that a stage has to spare which may be spent on that.
+const ZONE_PART: u32 = 3;
+/// Time by which the work of one rank may be put behind that of the next more urgent one.
+const RANK_STEP: time::Duration = time::Duration::from_millis(300);
+/// Ranks that are told apart.
+pub const RANKS: usize = 4;
+/// Span over which the rate of pieces is measured: a few calls, so that a burst shows within one.
+const RATE_SPAN: time::Duration = time::Duration::from_millis(700);
+/// Pieces that a call takes beyond what keeps up with the rate.
+const KEEP_UP: f64 = 1.2;
 /// Ratio of the time of calls to the expected from which on an endpoint is slow.
 const SLOW: f64 = 1.7;
 /// Weight of the newest call in that ratio.
@@ -50,16 +58,35 @@
     pub pieces: std::collections::VecDeque<u32>,
     /// Whether the run will not be in time.
     pub late: bool,
-    /// Time at which the stage is due for the run to be in time.
+    /// Latest time at which the stage starts for the run to be in time.
     pub due: id::Time,
+    /// Rank of the run; 0 comes first.
+    pub rank: u32,
     /// Time at which it was queued.
     pub since: id::Time,
     /// Size of one result in bytes.
     pub bytes: u64,
-    /// Availability zone in which the results will be read.
+    /// Availability zone in which its inputs lie or its results will be read.
     pub zone: Option<id::ZoneId>,
 }
 
+impl Group {
+    fn key(&self) -> (bool, id::Time) {
+        key(self.late, self.due, self.rank)
+    }
+
+    /// Time until which it waits for an endpoint in its zone.
+    fn patient(&self) -> id::Time {
+        let spare = self.due.saturating_sub(self.since) / ZONE_PART;
+        self.since + spare.min(ZONE_WAIT)
+    }
+}
+
+/// Place in the queue.
+fn key(late: bool, due: id::Time, rank: u32) -> (bool, id::Time) {
+    (late, due + RANK_STEP * rank.min(RANKS as u32))
+}
+
 /// A piece that is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Piece {
@@ -101,8 +128,10 @@
 pub struct Lane {
     /// How its endpoints work.
     pub batch: catalog::Batch,
-    /// Pieces of runs that will be queued when the stages before are done.
-    pub coming: usize,
+    /// Pieces of runs that will be queued when the stages before are done, by rank.
+    coming: [usize; RANKS],
+    /// Pieces that were queued lately, decaying, and when that was counted.
+    rate: (f64, id::Time),
     slots: map::FastMap<id::EndpointId, Slot>,
     groups: Vec<Group>,
     queued: usize,
@@ -115,7 +144,8 @@
     pub fn new(batch: catalog::Batch) -> Self {
         Lane {
             batch,
-            coming: 0,
+            coming: [0; RANKS],
+            rate: (0.0, id::Time::ZERO),
             slots: map::FastMap::default(),
             groups: Vec::new(),
             queued: 0,
@@ -145,17 +175,46 @@
         }
     }
 
+    /// Notes pieces that will be queued later.
+    pub fn expect(&mut self, rank: u32, pieces: u32) {
+        self.coming[(rank as usize).min(RANKS - 1)] += pieces as usize;
+    }
+
+    /// Notes that pieces which were expected are queued, or will not be.
+    pub fn expected(&mut self, rank: u32, pieces: u32) {
+        let coming = &mut self.coming[(rank as usize).min(RANKS - 1)];
+        *coming = coming.saturating_sub(pieces as usize);
+    }
+
     /// Queues pieces by the time at which they are due; those that will be late come last.
     pub fn queue(&mut self, group: Group) {
         if group.pieces.is_empty() {
             return;
         }
-        let key = (group.late, group.due);
-        let at = self.groups.partition_point(|other| (other.late, other.due) <= key);
+        let key = group.key();
+        let at = self.groups.partition_point(|other| other.key() <= key);
         self.queued += group.pieces.len();
+        self.rate = (self.decayed(group.since) + group.pieces.len() as f64, group.since);
         self.groups.insert(at, group);
     }
 
+    fn decayed(&self, now: id::Time) -> f64 {
+        let age = now.saturating_sub(self.rate.1).as_secs_f64() / RATE_SPAN.as_secs_f64();
+        self.rate.0 * libm::exp(-age)
+    }
+
+    /// Pieces that a call must hold for the endpoints to keep up with the rate at which pieces come.
+    fn needed(&self, now: id::Time) -> usize {
+        let rate = self.decayed(now) / RATE_SPAN.as_secs_f64();
+        let slots = (self.serving(now) * self.batch.slots as usize) as f64;
+        let left = slots - rate * self.batch.piece.as_secs_f64();
+        let needed = rate * self.batch.call.as_secs_f64() / left;
+        match left > 0.0 && needed.is_finite() {
+            true => ((needed * KEEP_UP).ceil() as usize).min(self.batch.pieces),
+            false => self.batch.pieces,
+        }
+    }
+
     /// Queues pieces that were sent before, together with others of the same stage that wait again.
     pub fn queue_again(&mut self, group: Group) {
         let same = |other: &&mut Group| other.run == group.run && other.stage == group.stage;
@@ -202,7 +261,7 @@
         self.mean() / slots.max(1)
     }
 
-    /// Time that a piece which comes now waits for a slot.
+    /// Time that a piece which comes now waits for a slot, whatever its rank.
     pub fn wait(&self, now: id::Time) -> time::Duration {
         self.wait_for(now, self.queued)
     }
@@ -218,12 +277,28 @@
         first + self.gap(now) * (ahead / self.batch.pieces.max(1)) as u32
     }
 
-    /// Time from the start of a stage that begins in `start` to its end.
-    pub fn time(&self, now: id::Time, start: time::Duration) -> time::Duration {
+    /// Pieces in the queue before those of a group that is due at a time.
+    fn ahead(&self, late: bool, due: id::Time, rank: u32) -> usize {
+        let key = key(late, due, rank);
+        let before = self.groups.iter().take_while(|group| group.key() <= key);
+        before.map(|group| group.pieces.len()).sum()
+    }
+
+    /// Time from the start of a stage that begins in `start` to its end, for a run of a rank whose stage
+    /// is due at a time.
+    pub fn time(
+        &self,
+        now: id::Time,
+        start: time::Duration,
+        due: id::Time,
+        rank: u32,
+    ) -> time::Duration {
+        let ahead = self.ahead(false, due, rank);
         let wait = match start.is_zero() {
-            true => self.wait(now),
+            true => self.wait_for(now, ahead),
             false => {
-                let ahead = self.wait_for(now, self.queued + self.coming);
+                let coming: usize = self.coming.iter().take(rank as usize + 1).sum();
+                let ahead = self.wait_for(now, ahead + coming);
                 ahead.saturating_sub(start).max(self.gap(now) / 2)
             }
         };
@@ -280,14 +355,29 @@
         None
     }
 
-    /// Whether a group goes to an endpoint in `zone` now, or waits for one where it will be read.
+    /// Whether a group goes to an endpoint in `zone` now, or waits for one in its own.
     fn fits(&self, now: id::Time, group: &Group, zone: &str) -> bool {
-        let Some(wanted) = group.zone.as_deref().filter(|_| group.bytes >= LARGE) else {
-            return true;
-        };
-        wanted == zone
-            || now >= group.since + ZONE_WAIT
-            || !self.slots.values().any(|slot| slot.zone == wanted && now >= slot.passed)
+        let Some(wanted) = group.zone.as_deref() else { return true };
+        let there = |slot: &Slot| slot.zone == wanted && now >= slot.passed && slot.pace < SLOW;
+        wanted == zone || now >= group.patient() || !self.slots.values().any(there)
+    }
+
+    /// Work for each endpoint that serves in `zone`, in pieces; `None` if there is no endpoint.
+    pub fn load(&self, now: id::Time, zone: &str) -> Option<f64> {
+        let there = |slot: &&Slot| slot.zone == zone && now >= slot.passed && slot.pace < SLOW;
+        let serving = self.slots.values().filter(there);
+        let (count, busy) = serving.fold((0u32, 0u32), |(count, busy), slot| {
+            (count + 1, busy + u32::from(slot.flight > 0))
+        });
+        let queued = self.groups.iter().filter(|group| group.zone.as_deref() == Some(zone));
+        let queued: usize = queued.map(|group| group.pieces.len()).sum();
+        let running = f64::from(busy) * self.fill / 2.0;
+        (count > 0).then(|| (queued as f64 + running) / f64::from(count))
+    }
+
+    /// Availability zones of the endpoints.
+    pub fn zones(&self) -> std::collections::BTreeSet<id::ZoneId> {
+        self.slots.values().map(|slot| slot.zone.clone()).collect()
     }
 
     fn take(&mut self, now: id::Time, id: &str) -> Vec<Piece> {
@@ -299,12 +389,24 @@
             true => self.batch.pieces.div_ceil(4),
             false => self.batch.pieces,
         };
+        let needed = self.needed(now);
         let mut at = 0;
+        let mut ends = id::Time::MAX;
         while at < self.groups.len() && pieces.len() < most {
             if !self.fits(now, &self.groups[at], &zone) {
                 at += 1;
                 continue;
             }
+            let own = self.groups[at].due + self.usual();
+            let count = self.groups[at].pieces.len();
+            let long = self.batch.call + self.batch.piece * (pieces.len() + count) as u32;
+            // More pieces make the call longer for those that are due first.
+            let crowded =
+                pieces.len() >= needed && now + long > ends && ends > now + self.batch.call;
+            if crowded && !pieces.is_empty() {
+                break;
+            }
+            ends = ends.min(own);
             let group = &mut self.groups[at];
             while pieces.len() < most && held + group.bytes <= self.batch.memory {
                 let Some(number) = group.pieces.pop_front() else { break };
--- a/sequoiacrank-kernel/src/edge/stage/run.rs
+++ b/sequoiacrank-kernel/src/edge/stage/run.rs
@@ -31,6 +31,8 @@
     pub aim: id::Time,
     /// Time after which nobody waits for the answer.
     pub deadline: id::Time,
+    /// Rank of the request; 0 comes first.
+    pub rank: u32,
     /// Time that the request needs after its stages.
     pub tail: time::Duration,
     /// Availability zone in which its results are going to be read.
@@ -52,12 +54,30 @@
     pub late: bool,
     /// Whether who asked was told of its end.
     pub told: bool,
+    /// Availability zone of the stages whose results are large together.
+    pub home: Option<id::ZoneId>,
     pieces: Vec<Vec<Piece>>,
     started: Vec<bool>,
     /// Times that each piece was sent in vain.
     tries: Vec<Vec<u32>>,
 }
 
+/// Stages that need the results of a stage.
+pub fn followers(stages: &[Work], stage: usize) -> impl Iterator<Item = usize> + '_ {
+    let needs = move |next: &usize| stages[*next].after.contains(&stage);
+    (0..stages.len()).filter(needs)
+}
+
+/// Time that the longest chain of stages from `stage` on usually takes.
+pub fn downstream(stages: &[Work], stage: usize, board: &stage::Board) -> time::Duration {
+    let own = match stages[stage].pieces {
+        0 => time::Duration::ZERO,
+        _ => board.usual(&stages[stage].service),
+    };
+    let rest = followers(stages, stage).map(|next| downstream(stages, next, board)).max();
+    own + rest.unwrap_or_default()
+}
+
 /// A result: service, endpoint, handle and size in bytes.
 pub type Made = (id::ServiceId, id::EndpointId, stage::Handle, u64);
 
@@ -68,7 +88,7 @@
             ask.stages.iter().map(|work| vec![Piece::Missing; work.pieces as usize]).collect();
         let tries = pieces.iter().map(|pieces| vec![0; pieces.len()]).collect();
         let started = vec![false; pieces.len()];
-        Run { ask, late, told: false, pieces, started, tries }
+        Run { ask, late, told: false, home: None, pieces, started, tries }
     }
 
     /// Number of pieces of a stage.
@@ -91,11 +111,29 @@
         self.pieces[stage].iter().all(|piece| !matches!(piece, Piece::Missing))
     }
 
+    /// Whether no other stage needs the results of a stage.
+    pub fn is_leaf(&self, stage: usize) -> bool {
+        followers(&self.ask.stages, stage).next().is_none()
+    }
+
+    /// Whether a stage that nothing follows waits for the others. Large results fill the memory of their
+    /// endpoint until the request runs, so they are made while the last of the other stages is.
+    fn waits(&self, stage: usize) -> bool {
+        let rest = |&other: &usize| other != stage && !self.is_leaf(other) && !self.is_whole(other);
+        let work = &self.ask.stages[stage];
+        work.bytes >= stage::LARGE
+            && work.pieces > 0
+            && self.is_leaf(stage)
+            && (0..self.pieces.len()).any(|other| rest(&other))
+    }
+
     /// Stages that can start now; they count as started from here on.
     pub fn startable(&mut self) -> Vec<usize> {
         let ready = |stage: &usize| {
             let after = &self.ask.stages[*stage].after;
-            !self.started[*stage] && after.iter().all(|&before| self.is_whole(before))
+            !self.started[*stage]
+                && after.iter().all(|&before| self.is_whole(before))
+                && !self.waits(*stage)
         };
         let stages: Vec<usize> = (0..self.pieces.len()).filter(ready).collect();
         for &stage in &stages {
@@ -139,28 +177,12 @@
         }
     }
 
-    fn followers(&self, stage: usize) -> impl Iterator<Item = usize> + '_ {
-        let needs = move |next: &usize| self.ask.stages[*next].after.contains(&stage);
-        (0..self.pieces.len()).filter(needs)
-    }
-
     /// Results of the stages that no other stage needs.
     pub fn results(&self) -> Vec<stage::Handle> {
-        let last = |stage: &usize| self.followers(*stage).next().is_none();
-        (0..self.pieces.len()).filter(last).flat_map(|stage| self.handles(stage)).collect()
-    }
-
-    /// Time that the longest chain of stages behind `stage` takes, the stage itself included.
-    pub fn downstream<F>(&self, stage: usize, usual: F) -> time::Duration
-    where
-        F: Fn(&str) -> time::Duration + Copy,
-    {
-        let own = match self.count(stage) {
-            0 => time::Duration::ZERO,
-            _ => usual(&self.ask.stages[stage].service),
-        };
-        let rest = self.followers(stage).map(|next| self.downstream(next, usual)).max();
-        own + rest.unwrap_or_default()
+        (0..self.pieces.len())
+            .filter(|&stage| self.is_leaf(stage))
+            .flat_map(|stage| self.handles(stage))
+            .collect()
     }
 
     fn take(&mut self, stage: usize, into: &mut Vec<Made>) {
@@ -178,10 +200,8 @@
     pub fn used(&mut self) -> Vec<Made> {
         let mut made = Vec::new();
         for stage in 0..self.pieces.len() {
-            let mut followers = self.followers(stage).peekable();
-            let used = followers.peek().is_some() && followers.all(|next| self.is_whole(next));
-            drop(followers);
-            if used {
+            let used = followers(&self.ask.stages, stage).all(|next| self.is_whole(next));
+            if used && !self.is_leaf(stage) {
                 self.take(stage, &mut made);
             }
         }
--- /dev/null
+++ b/sequoiacrank-kernel/tests/edge/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the decisions on the event-loop data path.
+
+mod site;
+mod stage_load;
