--- a/sequoiacrank-edge/src/batcher.rs
+++ b/sequoiacrank-edge/src/batcher.rs
@@ -75,11 +75,10 @@
         let ticket = wire.ticket;
         let verdict = self.decide(now, crate::stages::decode(now, wire));
         let body = match verdict {
-            stage::Verdict::Taken { run, expected } => {
+            stage::Verdict::Taken { run, .. } => {
                 self.owners.borrow_mut().insert(run, Owner::Other(from, ticket));
                 self.tickets.borrow_mut().insert((from, ticket), run);
-                let expected = host::millis(expected);
-                wire::Body::Taken(wire::Taken { ticket, expected })
+                wire::Body::Taken(wire::Ticket { ticket })
             }
             stage::Verdict::Refused { after, expected } => {
                 let (after, expected) = (host::millis(after), host::millis(expected));
--- a/sequoiacrank-edge/src/exchange.rs
+++ b/sequoiacrank-edge/src/exchange.rs
@@ -522,12 +522,14 @@
 
     fn order(&self, endpoint: &str, resume: Option<u64>) -> http::Request<Bytes> {
         let results = self.results.borrow();
+        let workspace = self.workspace.as_ref().and_then(|it| it.rank);
+        let urgency = workspace.unwrap_or(self.route.rank);
         let order = call::Order {
             endpoint,
             workspace: self.workspace.as_ref().map(|workspace| workspace.name.as_str()),
             budget: self.left(),
             results: results.as_ref().map_or(&[], |results| &results.handles),
-            urgency: self.route.affinity.then_some(self.rank),
+            urgency: self.route.affinity.then_some(urgency),
             resume,
         };
         let mut request = http::Request::new(self.body.clone());
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -30,6 +30,8 @@
 
 /// The state of a host.
 pub struct Host {
+    /// Names this process to other hosts.
+    process: u64,
     /// Settings.
     pub settings: edge::Settings,
     /// Clock of the process.
@@ -57,6 +59,7 @@
         let clock = clock::Clock::new();
         Host {
             clock,
+            process: rand::random(),
             pool: client::Pool::new(clock),
             facts: cell::RefCell::default(),
             batcher: batcher::Batcher::default(),
@@ -98,6 +101,7 @@
             hosts,
             number,
             heard: 0,
+            process: self.process,
         }
     }
 
--- a/sequoiacrank-edge/src/peer/mod.rs
+++ b/sequoiacrank-edge/src/peer/mod.rs
@@ -53,6 +53,8 @@
     /// Number of the last pulse from it, and of the last own one that it heard.
     number: u64,
     echoed: u64,
+    /// Names the process that was heard last.
+    process: u64,
     /// Number of the own pulse at which the connection was made.
     renewed: u64,
 }
@@ -88,6 +90,12 @@
         links.iter().filter(|(_, link)| usable(link)).map(|(&address, _)| address).collect()
     }
 
+    /// Names the process of a host that is heard; a restarted one knows nothing of before.
+    pub fn process(&self, now: id::Time, address: net::SocketAddr) -> Option<u64> {
+        let links = self.links.borrow();
+        links.get(&address).filter(|link| is_alive(link, now)).map(|link| link.process)
+    }
+
     /// Number of hosts that were heard lately, this one included.
     pub fn count(&self, now: id::Time) -> usize {
         let recent = |link: &Link| link.heard.is_some_and(|at| now < at + FORGET);
@@ -117,6 +125,7 @@
             passed: id::Time::ZERO,
             number: 0,
             echoed: 0,
+            process: 0,
             renewed: self.number.get(),
         };
         self.links.borrow_mut().insert(address, link);
@@ -192,6 +201,7 @@
             link.leaving = pulse.leaving;
             link.number = pulse.number;
             link.echoed = pulse.heard;
+            link.process = pulse.process;
         }
     }
 }
@@ -283,7 +293,7 @@
         Some(wire::Body::Records(records)) => host.take(records),
         Some(wire::Body::Ask(ask)) => host.batcher.asked(host, from, ask),
         Some(wire::Body::Release(ticket)) => host.batcher.released(host, from, ticket.ticket),
-        Some(wire::Body::Taken(taken)) => host.stages.taken(taken),
+        Some(wire::Body::Taken(ticket)) => host.stages.taken(&ticket),
         Some(wire::Body::Refused(refused)) => host.stages.refused(refused),
         Some(wire::Body::Ready(ready)) => host.stages.ready(ready),
         Some(wire::Body::Failed(ticket)) => host.stages.failed(ticket.ticket),
--- a/sequoiacrank-edge/src/peer/wire.rs
+++ b/sequoiacrank-edge/src/peer/wire.rs
@@ -59,7 +59,7 @@
     Ask(Ask),
     /// Stage work is taken on.
     #[prost(message, tag = "6")]
-    Taken(Taken),
+    Taken(Ticket),
     /// Stage work is refused; nothing was done.
     #[prost(message, tag = "7")]
     Refused(Refused),
@@ -98,6 +98,9 @@
     /// Number of the last pulse that the sender got from the receiver.
     #[prost(uint64, tag = "7")]
     pub heard: u64,
+    /// Drawn at the start of the sender's process.
+    #[prost(uint64, tag = "8")]
+    pub process: u64,
 }
 
 /// Asks for records of a topic.
@@ -203,17 +206,6 @@
     pub pieces: u32,
 }
 
-/// Stage work is taken on.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Taken {
-    /// Name of the work.
-    #[prost(uint64, tag = "1")]
-    pub ticket: u64,
-    /// Milliseconds in which it is expected to be done.
-    #[prost(uint64, tag = "2")]
-    pub expected: u64,
-}
-
 /// Stage work is refused.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Refused {
--- a/sequoiacrank-edge/src/stages.rs
+++ b/sequoiacrank-edge/src/stages.rs
@@ -16,14 +16,14 @@
 /// Time in which a host says whether it takes work on: many times the way there and back, and short
 /// against the time of a call to a stage endpoint.
 const ACKNOWLEDGE: time::Duration = time::Duration::from_millis(150);
-/// Time beyond twice the expected after which the results are asked of another host.
-const OVERDUE: time::Duration = time::Duration::from_millis(500);
+/// Time between two looks at whether a host that took work on still lives.
+const LOOK: time::Duration = time::Duration::from_millis(300);
 /// Hosts that are asked for the work of one request.
 const HOSTS: usize = 3;
 
 /// What another host said about work.
 enum Word {
-    Taken(time::Duration),
+    Taken,
     Refused(time::Duration),
     Ready(Vec<stage::Handle>),
     Failed,
@@ -80,8 +80,8 @@
     }
 
     /// A host takes work on.
-    pub fn taken(&self, taken: wire::Taken) {
-        self.say(taken.ticket, Word::Taken(time::Duration::from_millis(taken.expected)));
+    pub fn taken(&self, taken: &wire::Ticket) {
+        self.say(taken.ticket, Word::Taken);
     }
 
     /// A host refuses work.
@@ -166,10 +166,12 @@
     let mut results = Results { host: host.clone(), place, handles: Vec::new() };
     let wire = encode(host.clock.now(), ticket, ask);
     host.peers.send(host, address, wire::Body::Ask(wire));
-    let mut limit = ACKNOWLEDGE;
+    let process = host.peers.process(host.clock.now(), address);
+    let mut taken = false;
     loop {
+        let limit = if taken { LOOK } else { ACKNOWLEDGE };
         match tokio::time::timeout(limit, words.recv()).await {
-            Ok(Some(Word::Taken(expected))) => limit = expected * 2 + OVERDUE,
+            Ok(Some(Word::Taken)) => taken = true,
             Ok(Some(Word::Refused(after))) => return Some(Err(Refusal::Late(after))),
             Ok(Some(Word::Failed)) => return Some(Err(Refusal::Failed)),
             Ok(Some(Word::Ready(handles))) => {
@@ -177,9 +179,11 @@
                 return Some(Ok(results));
             }
             Ok(None) => return None,
+            Err(_) if host.clock.now() >= ask.deadline => return Some(Err(Refusal::Failed)),
+            Err(_) if taken && host.peers.process(host.clock.now(), address) == process => {}
             Err(_) => {
                 let other = address.to_string();
-                log::info!(target: "stage", request = ask.request.as_str(), other = other.as_str(), limit = host::millis(limit); "batcher silent");
+                log::info!(target: "stage", id = ask.request.as_str(), other = other.as_str(), taken; "batcher silent");
                 host.peers.pass_over(host.clock.now(), address);
                 return None;
             }
--- a/sequoiacrank-kernel/src/edge/catalog.rs
+++ b/sequoiacrank-kernel/src/edge/catalog.rs
@@ -138,9 +138,6 @@
     pub idle: time::Duration,
 }
 
-/// Ranks of routes that are told apart within one rank of workspaces.
-const ROUTE_RANKS: u32 = 4;
-
 /// A whole configuration.
 #[derive(Clone, Debug)]
 pub struct Catalog {
@@ -194,10 +191,11 @@
         self.services.values()
     }
 
-    /// Rank of a request: that of the workspace, counted from the first, goes before that of the route.
+    /// Rank of a request in the queues of stage work: that of the route, and that of the workspace counted
+    /// from the first one. Neither alone decides, so that no workspace starves and no kind of request does.
     pub fn rank(&self, route: &Route, workspace: Option<&Workspace>) -> u32 {
         let workspace = workspace.and_then(|it| it.rank).unwrap_or(self.first);
-        (workspace - self.first).saturating_mul(ROUTE_RANKS).saturating_add(route.rank)
+        (workspace - self.first).saturating_add(route.rank)
     }
 
     /// The workspace that holds `key`.
--- a/sequoiacrank-kernel/src/edge/stage.rs
+++ b/sequoiacrank-kernel/src/edge/stage.rs
@@ -399,7 +399,8 @@
     }
 
     fn requeue(&mut self, now: id::Time, id: RunId, stage: usize, piece: u32) {
-        let Some(run) = self.runs.get(&id) else { return };
+        let missing = |run: &&Run| run.is_missing(stage, piece);
+        let Some(run) = self.runs.get(&id).filter(missing) else { return };
         let work = &run.ask.stages[stage];
         let group = lane::Group {
             run: id,
