--- a/sequoiacrank-kernel/src/edge/stage.rs
+++ b/sequoiacrank-kernel/src/edge/stage.rs
@@ -300,7 +300,7 @@
         let (count, bytes, rank, late) =
             (run.count(stage), run.ask.stages[stage].bytes, run.ask.rank, run.late);
         let Some(lane) = self.lanes.get_mut(&service) else { return };
-        lane.expected(rank, count);
+        lane.arrived(rank, count);
         let pieces = (0..count).collect();
         let since = now;
         lane.queue(lane::Group {
@@ -336,7 +336,7 @@
             let Some(lane) = self.lanes.get_mut(&work.service) else { continue };
             match run.started(stage) {
                 true => lane.drop_run(id),
-                false => lane.expected(run.ask.rank, run.count(stage)),
+                false => lane.arrived(run.ask.rank, run.count(stage)),
             }
         }
         for (service, endpoint, handle, bytes) in run.all() {
@@ -350,7 +350,7 @@
     pub fn done(&mut self, now: id::Time, call: CallId, outcomes: Vec<Outcome>) {
         let Some(sent) = self.calls.remove(&call) else { return };
         let Some(lane) = self.lanes.get_mut(&sent.lane) else { return };
-        lane.answered(now, &sent.endpoint, now.saturating_sub(sent.at), sent.expected);
+        lane.answered(&sent.endpoint, now.saturating_sub(sent.at), sent.pieces.len());
         let mut touched = Vec::new();
         let mut outcomes = outcomes.into_iter();
         for &piece in &sent.pieces {
@@ -508,7 +508,7 @@
         }
         self.next += 1;
         let call = self.next;
-        let expected = lane.batch.call + lane.batch.piece * pieces.len() as u32;
+        let expected = lane.expected(pieces.len());
         let limit = lane::limit(expected);
         let (lane, name) = (service.to_owned(), endpoint.clone());
         let sent = Sent { lane, endpoint: name, pieces, at: now, expected, overdue: false };
--- a/sequoiacrank-kernel/src/edge/stage/lane.rs
+++ b/sequoiacrank-kernel/src/edge/stage/lane.rs
@@ -41,6 +41,11 @@
     (time::Duration::from_millis(400), time::Duration::from_secs(3));
 /// Weight of the newest call in the mean number of pieces in a call.
 const FILL_WEIGHT: f64 = 0.1;
+/// Weight of the newest call in the time of a piece, and bounds of that time in multiples of the declared.
+const SCALE_WEIGHT: f64 = 0.05;
+const SCALES: (f64, f64) = (0.2, 3.0);
+/// Calls that keep up with the rate which must wait before an idle endpoint takes work of other zones.
+const BACKLOG: f64 = 2.5;
 
 /// Time after which a call is broken off.
 pub fn limit(expected: time::Duration) -> time::Duration {
@@ -100,6 +105,25 @@
     pub bytes: u64,
 }
 
+/// Which groups go into a call.
+enum Fit<'a> {
+    /// Those of the endpoint's zone, and those that would be late if they waited for their own.
+    Own(&'a str),
+    /// Those that have waited long enough for an endpoint of their zone as well.
+    Patient(&'a str),
+    /// All.
+    Any,
+}
+
+/// A call that is being filled.
+struct Call {
+    pieces: Vec<Piece>,
+    /// Memory of the endpoint that results take, those of the call included, in bytes.
+    held: u64,
+    /// Latest end for the pieces that are due first.
+    ends: id::Time,
+}
+
 #[derive(Clone, Debug)]
 struct Slot {
     zone: id::ZoneId,
@@ -137,6 +161,8 @@
     queued: usize,
     /// Mean number of pieces in a call.
     fill: f64,
+    /// Time of a piece in proportion to the declared, which is approximate.
+    scale: f64,
 }
 
 impl Lane {
@@ -150,6 +176,7 @@
             groups: Vec::new(),
             queued: 0,
             fill: 1.0,
+            scale: 1.0,
         }
     }
 
@@ -181,7 +208,7 @@
     }
 
     /// Notes that pieces which were expected are queued, or will not be.
-    pub fn expected(&mut self, rank: u32, pieces: u32) {
+    pub fn arrived(&mut self, rank: u32, pieces: u32) {
         let coming = &mut self.coming[(rank as usize).min(RANKS - 1)];
         *coming = coming.saturating_sub(pieces as usize);
     }
@@ -207,7 +234,7 @@
     fn needed(&self, now: id::Time) -> usize {
         let rate = self.decayed(now) / RATE_SPAN.as_secs_f64();
         let slots = (self.serving(now) * self.batch.slots as usize) as f64;
-        let left = slots - rate * self.batch.piece.as_secs_f64();
+        let left = slots - rate * self.scale * self.batch.piece.as_secs_f64();
         let needed = rate * self.batch.call.as_secs_f64() / left;
         match left > 0.0 && needed.is_finite() {
             true => ((needed * KEEP_UP).ceil() as usize).min(self.batch.pieces),
@@ -247,8 +274,13 @@
         }
     }
 
+    /// Time of a call with so many pieces.
+    pub fn expected(&self, pieces: usize) -> time::Duration {
+        self.batch.call + self.batch.piece.mul_f64(self.scale * pieces as f64)
+    }
+
     fn mean(&self) -> time::Duration {
-        self.batch.call + self.batch.piece.mul_f64(self.fill)
+        self.batch.call + self.batch.piece.mul_f64(self.scale * self.fill)
     }
 
     fn serving(&self, now: id::Time) -> usize {
@@ -355,11 +387,15 @@
         None
     }
 
-    /// Whether a group goes to an endpoint in `zone` now, or waits for one in its own.
-    fn fits(&self, now: id::Time, group: &Group, zone: &str) -> bool {
+    fn fits(&self, now: id::Time, group: &Group, fit: &Fit<'_>) -> bool {
         let Some(wanted) = group.zone.as_deref() else { return true };
         let there = |slot: &Slot| slot.zone == wanted && now >= slot.passed && slot.pace < SLOW;
-        wanted == zone || now >= group.patient() || !self.slots.values().any(there)
+        match fit {
+            Fit::Any => true,
+            Fit::Own(zone) | Fit::Patient(zone) if wanted == *zone => true,
+            Fit::Own(_) => now >= group.due,
+            Fit::Patient(_) => now >= group.patient() || !self.slots.values().any(there),
+        }
     }
 
     /// Work for each endpoint that serves in `zone`, in pieces; `None` if there is no endpoint.
@@ -381,50 +417,28 @@
     }
 
     fn take(&mut self, now: id::Time, id: &str) -> Vec<Piece> {
-        let mut pieces = Vec::new();
-        let Some(slot) = self.slots.get(id) else { return pieces };
-        let (zone, mut held) = (slot.zone.clone(), slot.held);
+        let Some(slot) = self.slots.get(id) else { return Vec::new() };
+        let needed = self.needed(now);
         // An endpoint that was lost or slow shows with little whether it is back.
         let most = match slot.strikes > 0 || slot.pace > SLOW {
             true => self.batch.pieces.div_ceil(4),
             false => self.batch.pieces,
         };
-        let needed = self.needed(now);
-        let mut at = 0;
-        let mut ends = id::Time::MAX;
-        while at < self.groups.len() && pieces.len() < most {
-            if !self.fits(now, &self.groups[at], &zone) {
-                at += 1;
-                continue;
-            }
-            let own = self.groups[at].due + self.usual();
-            let count = self.groups[at].pieces.len();
-            let long = self.batch.call + self.batch.piece * (pieces.len() + count) as u32;
-            // More pieces make the call longer for those that are due first.
-            let crowded =
-                pieces.len() >= needed && now + long > ends && ends > now + self.batch.call;
-            if crowded && !pieces.is_empty() {
-                break;
-            }
-            ends = ends.min(own);
-            let group = &mut self.groups[at];
-            while pieces.len() < most && held + group.bytes <= self.batch.memory {
-                let Some(number) = group.pieces.pop_front() else { break };
-                held += group.bytes;
-                let (run, stage, bytes) = (group.run, group.stage, group.bytes);
-                pieces.push(Piece { run, stage, number, bytes });
-            }
-            match group.pieces.is_empty() {
-                true => drop(self.groups.remove(at)),
-                false => at += 1,
-            }
+        let zone = slot.zone.clone();
+        let mut call = Call { pieces: Vec::new(), held: slot.held, ends: id::Time::MAX };
+        let pressed = self.queued as f64 > BACKLOG * needed as f64;
+        self.collect(now, &mut call, needed, most, &Fit::Own(&zone));
+        self.collect(now, &mut call, needed, needed.min(most), &Fit::Patient(&zone));
+        if pressed {
+            self.collect(now, &mut call, needed, needed.min(most), &Fit::Any);
         }
+        let Call { pieces, held, .. } = call;
         self.queued -= pieces.len();
         if pieces.is_empty() {
             return pieces;
         }
         self.fill += FILL_WEIGHT * (pieces.len() as f64 - self.fill);
-        let took = self.batch.call + self.batch.piece * pieces.len() as u32;
+        let took = self.expected(pieces.len());
         if let Some(slot) = self.slots.get_mut(id) {
             slot.flight += 1;
             slot.held = held;
@@ -434,18 +448,55 @@
         pieces
     }
 
-    /// Notes the answer to a call.
-    pub fn answered(
+    /// Moves pieces of groups that fit from the queue into a call.
+    fn collect(
         &mut self,
-        _now: id::Time,
-        id: &str,
-        took: time::Duration,
-        expected: time::Duration,
+        now: id::Time,
+        call: &mut Call,
+        needed: usize,
+        most: usize,
+        fit: &Fit<'_>,
     ) {
+        let mut at = 0;
+        while at < self.groups.len() && call.pieces.len() < most {
+            if !self.fits(now, &self.groups[at], fit) {
+                at += 1;
+                continue;
+            }
+            let due = self.groups[at].due + self.usual();
+            let long = self.expected(call.pieces.len() + self.groups[at].pieces.len());
+            // More pieces make the call longer for those that are due first.
+            let harms = now + long > call.ends && call.ends > now + self.batch.call;
+            if harms && call.pieces.len() >= needed.max(1) {
+                return;
+            }
+            call.ends = call.ends.min(due);
+            let group = &mut self.groups[at];
+            while call.pieces.len() < most && call.held + group.bytes <= self.batch.memory {
+                let Some(number) = group.pieces.pop_front() else { break };
+                call.held += group.bytes;
+                let (run, stage, bytes) = (group.run, group.stage, group.bytes);
+                call.pieces.push(Piece { run, stage, number, bytes });
+            }
+            match group.pieces.is_empty() {
+                true => drop(self.groups.remove(at)),
+                false => at += 1,
+            }
+        }
+    }
+
+    /// Notes the answer to a call with so many pieces.
+    pub fn answered(&mut self, id: &str, took: time::Duration, pieces: usize) {
         self.ended(id);
+        let expected = self.expected(pieces);
         let Some(slot) = self.slots.get_mut(id) else { return };
         slot.strikes = 0;
         slot.pace += PACE_WEIGHT * (ratio(took, expected) - slot.pace);
+        if slot.pace < SLOW {
+            let declared = self.batch.piece * pieces as u32;
+            let scale = ratio(took.saturating_sub(self.batch.call), declared);
+            self.scale += SCALE_WEIGHT * (scale.clamp(SCALES.0, SCALES.1) - self.scale);
+        }
     }
 
     /// Notes that a call takes longer than expected.
--- a/sequoiacrank-kernel/tests/edge/site.rs
+++ b/sequoiacrank-kernel/tests/edge/site.rs
@@ -103,12 +103,16 @@
     pub kinds: collections::BTreeMap<&'static str, Tally>,
     /// Credit earned by credit owed.
     pub worth: f64,
+    /// The same less what results that cross zones cost.
+    pub net: f64,
     /// Bytes of results that crossed zones.
     pub crossed: u64,
     pub calls: u32,
     pub pieces: u32,
     /// Results that found no memory.
     pub room: u32,
+    /// Times of the stages of requests that were served, and what was expected, in milliseconds.
+    pub times: collections::BTreeMap<&'static str, Vec<(f64, f64)>>,
 }
 
 enum Event {
@@ -122,13 +126,19 @@
 
 struct Running {
     kind: usize,
+    began: id::Time,
+    expected: time::Duration,
     aim: id::Time,
 }
 
 /// Mean number of requests that come together.
 const CLUMP: u32 = 3;
+/// Credit that a gigabyte of results between zones costs.
+const CROSSING: f64 = 57.0;
+/// Time of a piece in proportion to the declared.
+const REAL: f64 = 1.2;
 /// Time of a request at an engine behind its stages.
-const TAIL: time::Duration = time::Duration::from_millis(120);
+const TAIL: time::Duration = time::Duration::from_millis(170);
 
 pub struct Site<'a> {
     world: &'a World,
@@ -142,6 +152,8 @@
     used: collections::HashMap<String, u64>,
     sizes: collections::HashMap<String, u64>,
     free_at: collections::HashMap<String, id::Time>,
+    /// Factors of the endpoints' working times.
+    speeds: collections::HashMap<String, f64>,
     report: Report,
     next: u64,
 }
@@ -178,9 +190,14 @@
             used: collections::HashMap::new(),
             sizes: collections::HashMap::new(),
             free_at: collections::HashMap::new(),
+            speeds: collections::HashMap::new(),
             report: Report::default(),
             next: 0,
         };
+        for entry in &site.entries {
+            let speed = site.random.random_range(0.95..1.1);
+            site.speeds.insert(entry.id.clone(), speed);
+        }
         site.board.configure(&site.catalog());
         site.board.endpoints(site.entries.iter());
         site.arrivals();
@@ -280,6 +297,11 @@
             Event::Lost(call) => self.board.failed(self.now, call, stage::Failure::Lost),
             Event::Served(run) => {
                 if let Some(running) = self.running.remove(&run) {
+                    let took = (self.now - running.began).saturating_sub(TAIL).as_millis() as f64;
+                    let expected = running.expected.as_millis() as f64;
+                    let times =
+                        self.report.times.entry(self.world.kinds[running.kind].name).or_default();
+                    times.push((took, expected));
                     let timely = self.now <= running.aim;
                     let tally = self.tally_of(running.kind);
                     match timely {
@@ -327,8 +349,10 @@
             zone: Some(zone),
         };
         match self.board.ask(self.now, ask) {
-            stage::Verdict::Taken { run, .. } => {
-                self.running.insert(run, Running { kind: k, aim: began + kind.aim });
+            stage::Verdict::Taken { run, expected } => {
+                let aim = began + kind.aim;
+                let running = Running { kind: k, began: self.now, expected, aim };
+                self.running.insert(run, running);
             }
             stage::Verdict::Refused { after, .. } => {
                 let left = (began + kind.deadline).saturating_sub(self.now);
@@ -395,7 +419,7 @@
             let kind: usize =
                 item.request.split('-').next().and_then(|it| it.parse().ok()).expect("a kind");
             let stage = &self.world.kinds[kind].stages[item.stage];
-            took += service.piece.mul_f64(stage.work);
+            took += service.piece.mul_f64(stage.work * REAL);
             if let stage::Input::Results(handles) = &item.input {
                 for handle in handles {
                     self.cross(handle, &zone);
@@ -416,6 +440,7 @@
             });
         }
         self.used.insert(endpoint.to_owned(), used);
+        took = took.mul_f64(self.speeds.get(endpoint).copied().unwrap_or(1.0));
         if let Some(slow) = self.trouble(endpoint).and_then(|it| it.slow) {
             took = took.mul_f64(slow);
         }
@@ -439,6 +464,7 @@
             earned += f64::from(tally.late) * kind.worth.1;
         }
         self.report.worth = earned / owed;
+        self.report.net = (earned - CROSSING * self.report.crossed as f64 / 1e9) / owed;
         self.report
     }
 }
--- a/sequoiacrank-kernel/tests/edge/stage_load.rs
+++ b/sequoiacrank-kernel/tests/edge/stage_load.rs
@@ -36,7 +36,7 @@
         kinds: vec![
             site::Kind {
                 name: "review",
-                rate: 21.0,
+                rate: 24.0,
                 aim: site::ms(1600),
                 deadline: site::ms(8000),
                 rank: 0,
@@ -45,12 +45,12 @@
                     records(3_000_000, (1, 2), 0.4, 1.0),
                     records(8_000, (1, 1), 1.0, 0.3),
                     stage("sheets", &[1], 60_000, (6, 6), 1.0, 1.0),
-                    stage("orders", &[2], 6_000, (10, 22), 1.0, 1.0),
+                    stage("orders", &[2], 6_000, (6, 28), 1.0, 1.0),
                 ],
             },
             site::Kind {
                 name: "check",
-                rate: 25.0,
+                rate: 28.0,
                 aim: site::ms(1900),
                 deadline: site::ms(5000),
                 rank: 1,
@@ -58,12 +58,12 @@
                 stages: vec![
                     records(8_000, (1, 1), 1.0, 0.3),
                     stage("sheets", &[0], 60_000, (6, 6), 1.0, 1.0),
-                    stage("orders", &[1], 6_000, (10, 22), 1.0, 1.0),
+                    stage("orders", &[1], 6_000, (6, 28), 1.0, 1.0),
                 ],
             },
             site::Kind {
                 name: "chat",
-                rate: 14.0,
+                rate: 16.0,
                 aim: site::ms(1500),
                 deadline: site::ms(15_000),
                 rank: 2,
@@ -84,11 +84,17 @@
         service("sheets", [2, 2, 1], 28, 4_600, 5_100_000),
         service("orders", [2, 2, 1], 58, 2_200, 1_000_000),
     ];
-    let rates = [16.0, 18.5, 10.4];
+    let rates = [18.0, 21.2, 11.9];
     let aims = [920, 1900, 2200];
+    let chain = world.kinds[0].stages.clone();
+    world.kinds[0].stages = world.kinds[2].stages.clone();
+    world.kinds[2].stages = chain;
     for ((kind, rate), aim) in world.kinds.iter_mut().zip(rates).zip(aims) {
         kind.rate = rate;
         kind.aim = site::ms(aim);
+        for stage in kind.stages.iter_mut().filter(|stage| stage.service == "sheets") {
+            stage.pieces = (8, 8);
+        }
     }
     world
 }
@@ -104,15 +110,19 @@
 fn show(name: &str, world: &site::World) -> site::Report {
     let report = site::Site::run(world, 7);
     println!(
-        "{name}: worth {:.3}, {:.2} GB crossed, {} calls of {:.1} pieces, {} without memory",
+        "{name}: worth {:.3}, net {:.3}, {:.2} GB crossed, {} calls of {:.1} pieces, {} without memory",
         report.worth,
+        report.net,
         report.crossed as f64 / 1e9,
         report.calls,
         f64::from(report.pieces) / f64::from(report.calls.max(1)),
         report.room
     );
     for (kind, tally) in &report.kinds {
-        println!("  {kind}: {tally:?}");
+        let mut times = report.times[kind].clone();
+        times.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let (p50, p95) = (times[times.len() / 2], times[times.len() * 95 / 100]);
+        println!("  {kind}: {tally:?}, stages {p50:?} {p95:?}");
     }
     report
 }
