--- a/sequoiacrank-edge/src/exchange.rs
+++ b/sequoiacrank-edge/src/exchange.rs
@@ -90,6 +90,7 @@
     pub(crate) deadline: id::Time,
     aim: id::Time,
     rank: u32,
+    session: Option<u64>,
     pub(crate) results: cell::RefCell<Option<stages::Results>>,
     tried: cell::RefCell<Vec<id::EndpointId>>,
     sends: cell::Cell<u32>,
@@ -227,8 +228,12 @@
         // The caller broke off or is too slow; nothing was sent.
         Ok(Err(_)) | Err(_) => return Err(refuse(Refusal::new(code::Code::BodyLate), &id)),
     };
-    let now = host.clock.now();
-    host.facts.borrow_mut().budgets.entry(service.clone()).or_default().request(now, &host.bound());
+    let session = {
+        let mut facts = host.facts.borrow_mut();
+        let budget = facts.budgets.entry(service.clone()).or_default();
+        budget.request(host.clock.now(), &host.bound());
+        route.affinity.then(|| facts.sessions.key(&route.name, &head.parts)).flatten()
+    };
     let budget = head.budget.map_or(route.timeout, |budget| budget.min(route.timeout));
     Ok(Exchange {
         host: host.clone(),
@@ -238,6 +243,7 @@
         deadline: began + budget,
         aim: began + route.target,
         rank: catalog.rank(&route, workspace.as_deref()),
+        session,
         head,
         route,
         service,
@@ -348,7 +354,7 @@
         let service = facts.catalog.as_ref().and_then(|it| it.service(&self.service).cloned());
         let tried = self.tried.borrow();
         let want = fleet::Want {
-            session: self.head.session.filter(|_| self.route.affinity),
+            session: self.session,
             avoid: &tried,
             zone: Some(&self.host.settings.zone),
             rate: service.and_then(|service| self.host.rate(service.cold_rate)),
@@ -461,6 +467,8 @@
         };
         self.sends.set(self.sends.get() + 1);
         let patience = self.patience();
+        let session = self.session.map(|session| format!("{session:016x}"));
+        log::info!(target: "request", id = self.head.attempt.as_str(), endpoint, session, left = host::millis(self.left()), patience = host::millis(patience), flight = host.facts.borrow().fleet.flight(endpoint); "sent");
         let sent = connection.send(self.order(endpoint, resume));
         let mut answer =
             tokio::time::timeout(patience, sent).await.unwrap_or(Err(client::Error::Time));
--- a/sequoiacrank-edge/src/facts.rs
+++ b/sequoiacrank-edge/src/facts.rs
@@ -11,6 +11,7 @@
 use sequoiacrank_kernel::edge::catalog;
 use sequoiacrank_kernel::edge::fleet;
 use sequoiacrank_kernel::edge::records;
+use sequoiacrank_kernel::edge::session;
 use sequoiacrank_kernel::id;
 use sequoiacrank_kernel::map;
 
@@ -28,6 +29,8 @@
     pub fleet: fleet::Fleet,
     /// Budgets of repeats by service.
     pub budgets: map::FastMap<id::ServiceId, budget::Budget>,
+    /// What tells the sessions of requests.
+    pub sessions: session::Sessions,
     operators: records::Records<Bytes>,
     endpoints: records::Records<Bytes>,
     /// Endpoints whose entry lapsed in an outage, with the time at which they count as gone.
--- a/sequoiacrank-kernel/src/edge.rs
+++ b/sequoiacrank-kernel/src/edge.rs
@@ -6,4 +6,5 @@
 pub mod fleet;
 pub mod pace;
 pub mod records;
+pub mod session;
 pub mod stage;
--- /dev/null
+++ b/sequoiacrank-kernel/src/edge/session.rs
@@ -0,0 +1,63 @@
+//! Which part of a prompt tells the session that a request belongs to.
+//!
+//! Prompts are lists of parts from the most shared to the least. On some routes the last part is that of
+//! the session, on others it is the request's own and never comes again; then the part before it decides
+//! where the prompt was read before. Each host learns this for each route from what it sees itself.
+
+use std::collections;
+
+use crate::id;
+use crate::map;
+
+/// Last parts that are remembered for each route.
+const MEMORY: usize = 512;
+/// Requests of a route before a verdict.
+const LEAST: u32 = 16;
+/// Share of requests whose last part was seen before from which on it is the session's. A host sees only
+/// some of a session's requests, so this is far below one.
+const SHARE: f64 = 0.1;
+/// Counts are halved at this number, so that the verdict follows a change.
+const HALVE: u32 = 400;
+
+/// What was seen on one route.
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    order: collections::VecDeque<u64>,
+    parts: map::FastSet<u64>,
+    asked: u32,
+    again: u32,
+}
+
+/// What was seen on all routes.
+#[derive(Clone, Debug, Default)]
+pub struct Sessions {
+    routes: map::FastMap<id::RouteId, Seen>,
+}
+
+impl Sessions {
+    /// Notes a request with these parts and returns the hash of its session.
+    pub fn key(&mut self, route: &str, parts: &[u64]) -> Option<u64> {
+        let (&last, shared) = parts.split_last()?;
+        let seen = match self.routes.get_mut(route) {
+            Some(seen) => seen,
+            None => self.routes.entry(route.to_owned()).or_default(),
+        };
+        seen.asked += 1;
+        match seen.parts.insert(last) {
+            true => seen.order.push_back(last),
+            false => seen.again += 1,
+        }
+        if seen.order.len() > MEMORY {
+            seen.order.pop_front().map(|part| seen.parts.remove(&part));
+        }
+        if seen.asked >= HALVE {
+            seen.asked /= 2;
+            seen.again /= 2;
+        }
+        let own = seen.asked >= LEAST && f64::from(seen.again) >= SHARE * f64::from(seen.asked);
+        match (own, shared.last()) {
+            (false, Some(&part)) => Some(part),
+            _ => Some(last),
+        }
+    }
+}
