--- a/sequoiacrank-edge/src/exchange.rs
+++ b/sequoiacrank-edge/src/exchange.rs
@@ -207,6 +207,10 @@
         Err(_) => return Err(refuse(Refusal::new(code::Code::BadRequest), "")),
     };
     let id = head.attempt.clone();
+    if host.stop.is_closing() {
+        // What begins this late may not end before the process does.
+        return Err(refuse(Refusal::soon(code::Code::NotReady), &id));
+    }
     let catalog = host.facts.borrow().catalog.clone();
     let Some(catalog) = catalog else {
         return Err(refuse(Refusal::soon(code::Code::NotReady), &id));
--- a/sequoiacrank-edge/src/stop.rs
+++ b/sequoiacrank-edge/src/stop.rs
@@ -25,7 +25,7 @@
     Serving,
     /// The balancer is told; requests are still taken.
     Leaving,
-    /// Connections end with the answer that is on its way.
+    /// Connections end with the answer that is on its way; new requests are refused.
     Closing,
 }
 
@@ -57,6 +57,11 @@
         *self.phase.borrow() != Phase::Serving
     }
 
+    /// Whether no more requests are taken.
+    pub fn is_closing(&self) -> bool {
+        *self.phase.borrow() == Phase::Closing
+    }
+
     /// Tells of each phase.
     pub fn phases(&self) -> watch::Receiver<Phase> {
         self.phase.subscribe()
--- a/sequoiacrank-kernel/src/edge/stage.rs
+++ b/sequoiacrank-kernel/src/edge/stage.rs
@@ -193,15 +193,15 @@
     pub fn ask(&mut self, now: id::Time, ask: Ask) -> Verdict {
         let expected = self.estimate(now, &ask);
         let end = now + expected + ask.tail;
-        let busy = self.wait(now, &ask);
         let late = end + RANK_SPARE * ask.rank.min(lane::RANKS as u32) > ask.aim;
         let refused = match late {
             _ if end > ask.deadline => true,
-            true => busy > lane::LATE_WAIT,
+            true => !self.has_room_for_late(&ask),
             false => false,
         };
         if refused {
-            let after = end.saturating_sub(ask.aim).max(busy).min(ask.deadline.saturating_sub(now));
+            let after = end.saturating_sub(ask.aim).max(lane::TICK * 4);
+            let after = after.min(ask.deadline.saturating_sub(now));
             return Verdict::Refused { after, expected };
         }
         self.next += 1;
@@ -226,7 +226,12 @@
             let due = ask.aim.saturating_sub(ask.tail + run::downstream(&ask.stages, stage, self));
             let took = match self.lanes.get(&work.service) {
                 _ if work.pieces == 0 => time::Duration::ZERO,
-                Some(lane) => lane.time(now, start, due, ask.rank),
+                Some(lane) => lane.time(
+                    now,
+                    start,
+                    lane::Place { late: false, due, rank: ask.rank },
+                    work.pieces,
+                ),
                 None => time::Duration::MAX / 4,
             };
             ends.push(start.saturating_add(took));
@@ -268,13 +273,10 @@
         }
     }
 
-    fn wait(&self, now: id::Time, ask: &Ask) -> time::Duration {
+    /// Whether the work of runs that can't be in time any more is little enough for one more.
+    fn has_room_for_late(&self, ask: &Ask) -> bool {
         let lanes = ask.stages.iter().filter(|work| work.pieces > 0);
-        lanes
-            .filter_map(|work| self.lanes.get(&work.service))
-            .map(|lane| lane.wait(now))
-            .max()
-            .unwrap_or_default()
+        lanes.filter_map(|work| self.lanes.get(&work.service)).all(lane::Lane::has_room_for_late)
     }
 
     /// Queues the pieces of stages whose inputs are all there; ends the run if all are done.
@@ -301,6 +303,8 @@
             (run.count(stage), run.ask.stages[stage].bytes, run.ask.rank, run.late);
         let Some(lane) = self.lanes.get_mut(&service) else { return };
         lane.arrived(rank, count);
+        let place = lane::Place { late, due, rank };
+        let expected = lane.time(now, time::Duration::ZERO, place, count);
         let pieces = (0..count).collect();
         let since = now;
         lane.queue(lane::Group {
@@ -314,7 +318,9 @@
             bytes,
             zone: zone.clone(),
         });
-        if let Some(run) = self.runs.get_mut(&id).filter(|run| !run.is_leaf(stage)) {
+        let Some(run) = self.runs.get_mut(&id) else { return };
+        run.begun(stage, now, expected);
+        if !run.is_leaf(stage) {
             run.home = run.home.take().or(zone);
         }
     }
@@ -372,12 +378,19 @@
         match (outcome, self.runs.get_mut(&id)) {
             (Outcome::Made(handle), Some(run)) if run.is_missing(stage, number) => {
                 run.made(stage, number, sent.endpoint.clone(), handle);
+                if let Some((took, expected)) = run.took(stage, now).filter(|_| !run.late) {
+                    lane.compare(took, expected);
+                }
                 // A second copy that waits for its turn is of no use any more.
                 lane.drop_piece(id, stage, number);
                 return;
             }
             (Outcome::Made(handle), _) => return lane.release(&sent.endpoint, handle, bytes),
-            (Outcome::Room, _) => lane.full(now, &sent.endpoint),
+            (Outcome::Room, _) => {
+                lane.forget(&sent.endpoint, bytes);
+                lane.tight(now, &sent.endpoint);
+                return self.requeue(now, id, stage, number);
+            }
             (Outcome::Failed, _) => lane.failed(now, &sent.endpoint),
             (Outcome::Late | Outcome::Gone, _) => {
                 lane.forget(&sent.endpoint, bytes);
@@ -452,6 +465,7 @@
     pub fn poll(&mut self, now: id::Time) -> Vec<Command> {
         self.expire(now);
         self.overdue(now);
+        self.demote(now);
         let services: Vec<id::ServiceId> = self.lanes.keys().cloned().collect();
         for service in services {
             while self.dispatch(now, &service) {}
@@ -491,6 +505,17 @@
         }
     }
 
+    /// Puts runs that can't be in time any more behind those that can.
+    fn demote(&mut self, now: id::Time) {
+        for lane in self.lanes.values_mut() {
+            for run in lane.demote(now) {
+                if let Some(run) = self.runs.get_mut(&run) {
+                    run.late = true;
+                }
+            }
+        }
+    }
+
     fn dispatch(&mut self, now: id::Time, service: &str) -> bool {
         let Some(lane) = self.lanes.get_mut(service) else { return false };
         let Some((endpoint, pieces)) = lane.fill(now) else { return false };
--- a/sequoiacrank-kernel/src/edge/stage/lane.rs
+++ b/sequoiacrank-kernel/src/edge/stage/lane.rs
@@ -12,9 +12,16 @@
 pub const TICK: time::Duration = time::Duration::from_millis(25);
 /// Time over twice the expected at which a call counts as overdue.
 pub const OVERDUE_EXTRA: time::Duration = time::Duration::from_millis(150);
-/// Longest wait in the queue at which work is taken on that can't be in time any more. Longer queues
-/// would make others late as well.
-pub const LATE_WAIT: time::Duration = time::Duration::from_millis(60);
+/// Calls for each slot whose worth of late work may wait. It uses what slots others leave; more of it
+/// would wait in vain until the callers leave.
+const LATE_CALLS: f64 = 0.5;
+/// Time past its latest start after which work counts as late: about the error of the estimate.
+const LATE_AFTER: time::Duration = time::Duration::from_millis(100);
+/// Weight of the newest stage in the ratio of real to expected times, and bounds of that ratio.
+const BIAS_WEIGHT: f64 = 0.05;
+const BIASES: (f64, f64) = (0.8, 2.0);
+/// Time for which an endpoint that had no memory for a result gets no more results than it holds.
+const TIGHT: time::Duration = time::Duration::from_millis(700);
 /// Longest time that a piece waits for an endpoint in the zone where its inputs lie or its result will be
 /// read: about the time of a call, after which an endpoint of that zone has been free.
 const ZONE_WAIT: time::Duration = time::Duration::from_millis(200);
@@ -75,9 +82,26 @@
     pub zone: Option<id::ZoneId>,
 }
 
+/// What decides the place of work in the queue.
+#[derive(Clone, Copy, Debug)]
+pub struct Place {
+    /// Whether its run can't be in time any more.
+    pub late: bool,
+    /// Latest time at which it starts for the run to be in time.
+    pub due: id::Time,
+    /// Rank of the run; 0 comes first.
+    pub rank: u32,
+}
+
+impl Place {
+    fn key(&self) -> (bool, id::Time) {
+        (self.late, self.due + RANK_STEP * self.rank.min(RANKS as u32))
+    }
+}
+
 impl Group {
     fn key(&self) -> (bool, id::Time) {
-        key(self.late, self.due, self.rank)
+        Place { late: self.late, due: self.due, rank: self.rank }.key()
     }
 
     /// Time until which it waits for an endpoint in its zone.
@@ -87,11 +111,6 @@
     }
 }
 
-/// Place in the queue.
-fn key(late: bool, due: id::Time, rank: u32) -> (bool, id::Time) {
-    (late, due + RANK_STEP * rank.min(RANKS as u32))
-}
-
 /// A piece that is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Piece {
@@ -120,6 +139,8 @@
     pieces: Vec<Piece>,
     /// Memory of the endpoint that results take, those of the call included, in bytes.
     held: u64,
+    /// Memory of the endpoint for results, in bytes.
+    memory: u64,
     /// Latest end for the pieces that are due first.
     ends: id::Time,
 }
@@ -146,6 +167,8 @@
     strikes: u32,
     /// Time until which it is passed over.
     passed: id::Time,
+    /// Memory that it has for results beside what others left there, and until when that holds.
+    tight: Option<(u64, id::Time)>,
 }
 
 /// The queue of one stage service.
@@ -163,6 +186,8 @@
     fill: f64,
     /// Time of a piece in proportion to the declared, which is approximate.
     scale: f64,
+    /// Time of stages in proportion to the expected.
+    bias: f64,
 }
 
 impl Lane {
@@ -177,6 +202,7 @@
             queued: 0,
             fill: 1.0,
             scale: 1.0,
+            bias: 1.0,
         }
     }
 
@@ -198,6 +224,7 @@
                 pace: 1.0,
                 strikes: 0,
                 passed: id::Time::ZERO,
+                tight: None,
             });
         }
     }
@@ -293,11 +320,6 @@
         self.mean() / slots.max(1)
     }
 
-    /// Time that a piece which comes now waits for a slot, whatever its rank.
-    pub fn wait(&self, now: id::Time) -> time::Duration {
-        self.wait_for(now, self.queued)
-    }
-
     fn wait_for(&self, now: id::Time, ahead: usize) -> time::Duration {
         let idle = |slot: &&Slot| now >= slot.passed && slot.pace < SLOW;
         let free =
@@ -306,35 +328,63 @@
                 false => slot.free.saturating_sub(now),
             });
         let first = free.min().unwrap_or(self.mean());
-        first + self.gap(now) * (ahead / self.batch.pieces.max(1)) as u32
+        let slots = self.serving(now) as u32 * self.batch.slots.max(1);
+        let full = self.expected(self.batch.pieces) / slots.max(1);
+        first + full * (ahead / self.batch.pieces.max(1)) as u32
     }
 
-    /// Pieces in the queue before those of a group that is due at a time.
-    fn ahead(&self, late: bool, due: id::Time, rank: u32) -> usize {
-        let key = key(late, due, rank);
+    /// Pieces in the queue before a place.
+    fn ahead(&self, place: Place) -> usize {
+        let key = place.key();
         let before = self.groups.iter().take_while(|group| group.key() <= key);
         before.map(|group| group.pieces.len()).sum()
     }
 
-    /// Time from the start of a stage that begins in `start` to its end, for a run of a rank whose stage
-    /// is due at a time.
+    /// Time from the start of a stage that begins in `start` to its end, for so many pieces at a place.
     pub fn time(
         &self,
         now: id::Time,
         start: time::Duration,
-        due: id::Time,
-        rank: u32,
+        place: Place,
+        pieces: u32,
     ) -> time::Duration {
-        let ahead = self.ahead(false, due, rank);
+        let coming: usize = self.coming.iter().take(place.rank as usize + 1).sum();
+        let ahead = self.ahead(place) + if start.is_zero() { 0 } else { coming };
         let wait = match start.is_zero() {
             true => self.wait_for(now, ahead),
-            false => {
-                let coming: usize = self.coming.iter().take(rank as usize + 1).sum();
-                let ahead = self.wait_for(now, ahead + coming);
-                ahead.saturating_sub(start).max(self.gap(now) / 2)
-            }
+            false => self.wait_for(now, ahead).saturating_sub(start).max(self.gap(now) / 2),
         };
-        wait + self.mean()
+        let own = pieces as usize + ahead % self.batch.pieces.max(1);
+        let pieces = own.max(self.fill as usize).min(self.batch.pieces);
+        (wait + self.expected(pieces)).mul_f64(self.bias)
+    }
+
+    /// Compares the real time of a stage with the expected.
+    pub fn compare(&mut self, took: time::Duration, expected: time::Duration) {
+        let now = self.bias * ratio(took, expected);
+        self.bias += BIAS_WEIGHT * (now - self.bias);
+        self.bias = self.bias.clamp(BIASES.0, BIASES.1);
+    }
+
+    /// Whether the late work that waits is little enough for more.
+    pub fn has_room_for_late(&self) -> bool {
+        let late = self.groups.iter().filter(|group| group.late);
+        let late: usize = late.map(|group| group.pieces.len()).sum();
+        let slots = self.slots.len() * self.batch.slots as usize;
+        (late as f64) < LATE_CALLS * (slots * self.batch.pieces) as f64
+    }
+
+    /// Puts work that can't be in time any more behind what can. Returns its runs.
+    pub fn demote(&mut self, now: id::Time) -> Vec<stage::RunId> {
+        let over = |group: &Group| !group.late && now > group.due + LATE_AFTER;
+        let runs: Vec<_> = self.groups.iter().filter(|it| over(it)).map(|it| it.run).collect();
+        if !runs.is_empty() {
+            for group in &mut self.groups {
+                group.late |= over(group);
+            }
+            self.groups.sort_by_key(Group::key);
+        }
+        runs
     }
 
     /// Time that a stage usually takes.
@@ -425,7 +475,11 @@
             false => self.batch.pieces,
         };
         let zone = slot.zone.clone();
-        let mut call = Call { pieces: Vec::new(), held: slot.held, ends: id::Time::MAX };
+        let memory = match slot.tight {
+            Some((memory, until)) if now < until => memory,
+            _ => self.batch.memory,
+        };
+        let mut call = Call { pieces: Vec::new(), held: slot.held, memory, ends: id::Time::MAX };
         let pressed = self.queued as f64 > BACKLOG * needed as f64;
         self.collect(now, &mut call, needed, most, &Fit::Own(&zone));
         self.collect(now, &mut call, needed, needed.min(most), &Fit::Patient(&zone));
@@ -472,7 +526,7 @@
             }
             call.ends = call.ends.min(due);
             let group = &mut self.groups[at];
-            while call.pieces.len() < most && call.held + group.bytes <= self.batch.memory {
+            while call.pieces.len() < most && call.held + group.bytes <= call.memory {
                 let Some(number) = group.pieces.pop_front() else { break };
                 call.held += group.bytes;
                 let (run, stage, bytes) = (group.run, group.stage, group.bytes);
@@ -526,6 +580,13 @@
         }
     }
 
+    /// Notes that an endpoint had no memory for a result: others than this host have left some there.
+    pub fn tight(&mut self, now: id::Time, id: &str) {
+        if let Some(slot) = self.slots.get_mut(id) {
+            slot.tight = Some((slot.held, now + TIGHT));
+        }
+    }
+
     /// Notes that an endpoint failed a piece.
     pub fn failed(&mut self, now: id::Time, id: &str) {
         if let Some(slot) = self.slots.get_mut(id) {
--- a/sequoiacrank-kernel/src/edge/stage/run.rs
+++ b/sequoiacrank-kernel/src/edge/stage/run.rs
@@ -58,6 +58,8 @@
     pub home: Option<id::ZoneId>,
     pieces: Vec<Vec<Piece>>,
     started: Vec<bool>,
+    /// When the pieces of each stage were queued, and the time in which they were expected.
+    begun: Vec<Option<(id::Time, time::Duration)>>,
     /// Times that each piece was sent in vain.
     tries: Vec<Vec<u32>>,
 }
@@ -88,7 +90,8 @@
             ask.stages.iter().map(|work| vec![Piece::Missing; work.pieces as usize]).collect();
         let tries = pieces.iter().map(|pieces| vec![0; pieces.len()]).collect();
         let started = vec![false; pieces.len()];
-        Run { ask, late, told: false, home: None, pieces, started, tries }
+        let begun = vec![None; pieces.len()];
+        Run { ask, late, told: false, home: None, pieces, started, begun, tries }
     }
 
     /// Number of pieces of a stage.
@@ -142,6 +145,17 @@
         stages
     }
 
+    /// Notes that the pieces of a stage are queued.
+    pub fn begun(&mut self, stage: usize, now: id::Time, expected: time::Duration) {
+        self.begun[stage] = Some((now, expected));
+    }
+
+    /// The time that a whole stage took, and the one in which it was expected.
+    pub fn took(&self, stage: usize, now: id::Time) -> Option<(time::Duration, time::Duration)> {
+        let (at, expected) = self.begun[stage].filter(|_| self.is_whole(stage))?;
+        Some((now.saturating_sub(at), expected))
+    }
+
     /// Whether all pieces have results.
     pub fn done(&self) -> bool {
         (0..self.pieces.len()).all(|stage| self.is_whole(stage))
--- a/sequoiacrank-kernel/tests/edge/stage_load.rs
+++ b/sequoiacrank-kernel/tests/edge/stage_load.rs
@@ -107,41 +107,71 @@
     ]
 }
 
-fn show(name: &str, world: &site::World) -> site::Report {
-    let report = site::Site::run(world, 7);
-    println!(
-        "{name}: worth {:.3}, net {:.3}, {:.2} GB crossed, {} calls of {:.1} pieces, {} without memory",
-        report.worth,
-        report.net,
-        report.crossed as f64 / 1e9,
-        report.calls,
-        f64::from(report.pieces) / f64::from(report.calls.max(1)),
-        report.room
+fn measure(name: &str, world: &site::World) -> site::Report {
+    let mut whole = site::Report::default();
+    for seed in 1..=SEEDS {
+        let report = site::Site::run(world, seed);
+        whole.worth += report.worth / SEEDS as f64;
+        whole.net += report.net / SEEDS as f64;
+        whole.crossed += report.crossed / SEEDS;
+        whole.room += report.room;
+        for (kind, tally) in report.kinds {
+            let sum = whole.kinds.entry(kind).or_default();
+            sum.asked += tally.asked;
+            sum.timely += tally.timely;
+            sum.late += tally.late;
+            sum.refused += tally.refused;
+            sum.failed += tally.failed;
+        }
+        for (kind, times) in report.times {
+            whole.times.entry(kind).or_default().extend(times);
+        }
+    }
+    print!(
+        "{name:24} worth {:.3} net {:.3} crossed {:.2} GB room {:4}",
+        whole.worth,
+        whole.net,
+        whole.crossed as f64 / 1e9,
+        whole.room
     );
-    for (kind, tally) in &report.kinds {
-        let mut times = report.times[kind].clone();
-        times.sort_by(|a, b| a.0.total_cmp(&b.0));
-        let (p50, p95) = (times[times.len() / 2], times[times.len() * 95 / 100]);
-        println!("  {kind}: {tally:?}, stages {p50:?} {p95:?}");
+    for (kind, tally) in &whole.kinds {
+        let share = |count: u32| 100 * count / tally.asked.max(1);
+        let (timely, late) = (share(tally.timely), share(tally.late));
+        print!(" | {kind} {timely}+{late}-{}-{}", share(tally.refused), share(tally.failed));
+    }
+    println!();
+    whole
+}
+
+/// Days that are averaged in each figure.
+const SEEDS: u64 = 4;
+
+fn worlds() -> Vec<(String, site::World)> {
+    let mut worlds = Vec::new();
+    for (name, calm) in [("releases", releases()), ("auctions", auctions())] {
+        let mut bursts = calm.clone();
+        bursts.bursts = self::bursts();
+        let trouble =
+            |slow| site::Trouble { service: "sheets", endpoints: 2, from: 9_000, to: 15_500, slow };
+        let (mut slow, mut lost) = (bursts.clone(), bursts.clone());
+        slow.troubles = vec![trouble(Some(4.0))];
+        lost.troubles = vec![trouble(None)];
+        let mut over = bursts.clone();
+        over.kinds.iter_mut().for_each(|kind| kind.rate *= 1.4);
+        worlds.push((format!("{name} calm"), calm));
+        worlds.push((format!("{name} bursts"), bursts));
+        worlds.push((format!("{name} bursts, slow"), slow));
+        worlds.push((format!("{name} bursts, lost"), lost));
+        worlds.push((format!("{name} overload"), over));
     }
-    report
+    worlds
 }
 
 #[test]
-fn burst_of_the_most_urgent_kind() {
-    for (name, mut world) in [("releases", releases()), ("auctions", auctions())] {
-        show(&format!("{name} calm"), &world);
-        world.bursts = bursts();
-        show(&format!("{name} bursts"), &world);
-        world.troubles = vec![site::Trouble {
-            service: "sheets",
-            endpoints: 2,
-            from: 11_000,
-            to: 15_500,
-            slow: Some(4.0),
-        }];
-        show(&format!("{name} bursts, slow"), &world);
-        world.troubles[0].slow = None;
-        show(&format!("{name} bursts, lost"), &world);
+fn loads() {
+    let mut net = 0.0;
+    for (name, world) in worlds() {
+        net += measure(&name, &world).net / 10.0;
     }
+    println!("mean net {net:.4}");
 }
