--- a/sequoiacrank-edge/src/front.rs
+++ b/sequoiacrank-edge/src/front.rs
@@ -117,7 +117,8 @@
 /// Answers the balancer's checks.
 pub async fn readiness(host: rc::Rc<host::Host>, listener: TcpListener) {
     pages(listener, move |request| {
-        let ready = host.facts.borrow().ready() && !host.stop.is_leaving();
+        let settled = host.peers.unsettled(host.clock.now()).is_none();
+        let ready = settled && host.facts.borrow().ready() && !host.stop.is_leaving();
         let status = match (ingress::is_readiness(request.uri().path()), ready) {
             (false, _) => http::StatusCode::NOT_FOUND,
             (true, true) => http::StatusCode::OK,
--- a/sequoiacrank-edge/src/peer/mod.rs
+++ b/sequoiacrank-edge/src/peer/mod.rs
@@ -33,6 +33,9 @@
 const FORGET: time::Duration = time::Duration::from_secs(20);
 /// Time for which a host is passed over that did not answer in time.
 const PASSED: time::Duration = time::Duration::from_secs(2);
+/// Time after the start within which hosts that live are heard: a connection, a pulse each way, and as much
+/// again for those that start a little later.
+const SETTLE: time::Duration = time::Duration::from_millis(900);
 /// Time to connect to another host.
 const CONNECT: time::Duration = time::Duration::from_millis(500);
 /// Time between two attempts to connect.
@@ -102,6 +105,11 @@
         1 + self.links.borrow().values().filter(|link| recent(link)).count()
     }
 
+    /// Time until this host knows which others live. Before that it may take itself for the only one.
+    pub fn unsettled(&self, now: id::Time) -> Option<time::Duration> {
+        SETTLE.checked_sub(now).filter(|left| !left.is_zero())
+    }
+
     /// Asks no work of a host for a while, because it did not answer in time.
     pub fn pass_over(&self, now: id::Time, address: net::SocketAddr) {
         if let Some(link) = self.links.borrow_mut().get_mut(&address) {
@@ -181,14 +189,16 @@
         });
     }
 
-    /// Notes a message of a host.
-    fn hear(&self, now: id::Time, from: net::SocketAddr) {
-        if let Some(link) = self.links.borrow_mut().get_mut(&from) {
-            if !is_alive(link, now) {
-                log::info!(target: "hosts", other = from.to_string().as_str(); "heard");
-            }
-            link.heard = Some(now);
+    /// Notes a message of a host. Returns whether it was not heard before.
+    fn hear(&self, now: id::Time, from: net::SocketAddr) -> bool {
+        let mut links = self.links.borrow_mut();
+        let Some(link) = links.get_mut(&from) else { return false };
+        let new = !is_alive(link, now);
+        link.heard = Some(now);
+        if new {
+            log::info!(target: "hosts", other = from.to_string().as_str(); "heard");
         }
+        new
     }
 
     /// Takes over what a pulse says of its sender.
@@ -286,7 +296,10 @@
 fn receive(host: &rc::Rc<host::Host>, frame: wire::Frame) {
     let Ok(from) = frame.from.parse() else { return };
     host.peers.add(host, from);
-    host.peers.hear(host.clock.now(), from);
+    if host.peers.hear(host.clock.now(), from) {
+        // Hosts that start together know each other after one exchange instead of several pulses.
+        host.peers.pulse(host);
+    }
     match frame.body {
         Some(wire::Body::Pulse(pulse)) => host.heard(from, &pulse),
         Some(wire::Body::Fetch(fetch)) => host.give(from, &fetch),
--- a/sequoiacrank-edge/src/stages.rs
+++ b/sequoiacrank-edge/src/stages.rs
@@ -120,6 +120,9 @@
 
 /// Gets the results of `ask`.
 pub async fn obtain(host: &rc::Rc<host::Host>, ask: stage::Ask) -> Result<Results, Refusal> {
+    if let Some(left) = host.peers.unsettled(host.clock.now()) {
+        tokio::time::sleep(left).await;
+    }
     let mut avoid = Vec::new();
     while avoid.len() < HOSTS {
         let Some(address) = batcher(host, &avoid) else { return here(host, ask).await };
--- a/sequoiacrank-kernel/src/edge/stage/lane.rs
+++ b/sequoiacrank-kernel/src/edge/stage/lane.rs
@@ -41,8 +41,12 @@
 const PACE_WEIGHT: f64 = 0.4;
 /// Time after which a slow endpoint gets one call to show whether it still is.
 const PROBE: time::Duration = time::Duration::from_secs(2);
-/// Time that a full endpoint is passed over.
-const FULL_PAUSE: time::Duration = time::Duration::from_millis(60);
+/// Shortest and longest time that a full endpoint is passed over. Only other batchers fill it, so a host
+/// that meets them often leaves them the endpoint.
+const FULL_PAUSE: (time::Duration, time::Duration) =
+    (time::Duration::from_millis(60), time::Duration::from_millis(500));
+/// Time that an endpoint is passed over which failed a piece.
+const FAIL_PAUSE: time::Duration = time::Duration::from_millis(60);
 /// Shortest and longest time that a lost endpoint is passed over.
 const LOST_PAUSE: (time::Duration, time::Duration) =
     (time::Duration::from_millis(400), time::Duration::from_secs(3));
@@ -165,6 +169,8 @@
     /// Time of calls in proportion to the expected.
     pace: f64,
     strikes: u32,
+    /// Times that it was full since its last answer.
+    turned: u32,
     /// Time until which it is passed over.
     passed: id::Time,
     /// Memory that it has for results beside what others left there, and until when that holds.
@@ -223,6 +229,7 @@
                 waiting: None,
                 pace: 1.0,
                 strikes: 0,
+                turned: 0,
                 passed: id::Time::ZERO,
                 tight: None,
             });
@@ -545,6 +552,7 @@
         let expected = self.expected(pieces);
         let Some(slot) = self.slots.get_mut(id) else { return };
         slot.strikes = 0;
+        slot.turned = 0;
         slot.pace += PACE_WEIGHT * (ratio(took, expected) - slot.pace);
         if slot.pace < SLOW {
             let declared = self.batch.piece * pieces as u32;
@@ -576,7 +584,9 @@
     /// Notes that an endpoint is full.
     pub fn full(&mut self, now: id::Time, id: &str) {
         if let Some(slot) = self.slots.get_mut(id) {
-            slot.passed = slot.passed.max(now + FULL_PAUSE);
+            let pause = FULL_PAUSE.0 * (1 << slot.turned.min(4));
+            slot.turned += 1;
+            slot.passed = slot.passed.max(now + pause.min(FULL_PAUSE.1));
         }
     }
 
@@ -591,7 +601,7 @@
     pub fn failed(&mut self, now: id::Time, id: &str) {
         if let Some(slot) = self.slots.get_mut(id) {
             slot.strikes = slot.strikes.max(1);
-            slot.passed = slot.passed.max(now + FULL_PAUSE);
+            slot.passed = slot.passed.max(now + FAIL_PAUSE);
         }
     }
 
