--- a/sequoiacrank-edge/src/stages.rs
+++ b/sequoiacrank-edge/src/stages.rs
@@ -138,18 +138,19 @@
 }
 
 async fn here(host: &rc::Rc<host::Host>, ask: stage::Ask) -> Result<Results, Refusal> {
+    let left = ask.deadline.saturating_sub(host.clock.now());
     let (verdict, receiver) = host.batcher.ask(host, ask);
     match verdict {
         stage::Verdict::Refused { after, .. } => Err(Refusal::Late(after)),
         stage::Verdict::Taken { run, .. } => {
             let mut results =
                 Results { host: host.clone(), place: Place::Here(run), handles: Vec::new() };
-            match receiver.await {
-                Ok(Some(handles)) => {
+            match tokio::time::timeout(left, receiver).await {
+                Ok(Ok(Some(handles))) => {
                     results.handles = handles;
                     Ok(results)
                 }
-                Ok(None) | Err(_) => Err(Refusal::Failed),
+                Ok(Ok(None) | Err(_)) | Err(_) => Err(Refusal::Failed),
             }
         }
     }
--- a/sequoiacrank-kernel/src/edge/stage.rs
+++ b/sequoiacrank-kernel/src/edge/stage.rs
@@ -485,6 +485,20 @@
         for id in old {
             self.release(id);
         }
+        let hopeless =
+            |run: &Run| run.late && !run.told && now + self.least(run) > run.ask.deadline;
+        let hopeless: Vec<RunId> =
+            self.runs.iter().filter(|(_, run)| hopeless(run)).map(|(&id, _)| id).collect();
+        for id in hopeless {
+            self.fail(id);
+        }
+    }
+
+    /// Least time that a run still needs.
+    fn least(&self, run: &Run) -> time::Duration {
+        let call = |work: &Work| self.lanes.get(&work.service).map(|lane| lane.batch.call);
+        let open = run.open().filter_map(|stage| call(&run.ask.stages[stage]));
+        open.max().unwrap_or_default() + run.ask.tail
     }
 
     /// Queues the pieces of calls that take far too long once more; the first result counts.
--- a/sequoiacrank-kernel/src/edge/stage/lane.rs
+++ b/sequoiacrank-kernel/src/edge/stage/lane.rs
@@ -14,9 +14,9 @@
 pub const OVERDUE_EXTRA: time::Duration = time::Duration::from_millis(150);
 /// Calls for each slot whose worth of late work may wait. It uses what slots others leave; more of it
 /// would wait in vain until the callers leave.
-const LATE_CALLS: f64 = 0.5;
-/// Time past its latest start after which work counts as late: about the error of the estimate.
-const LATE_AFTER: time::Duration = time::Duration::from_millis(100);
+const LATE_CALLS: f64 = 0.25;
+/// Time past its latest start after which work counts as late: one tick, as long as a look may be late.
+const LATE_AFTER: time::Duration = time::Duration::from_millis(30);
 /// Weight of the newest stage in the ratio of real to expected times, and bounds of that ratio.
 const BIAS_WEIGHT: f64 = 0.05;
 const BIASES: (f64, f64) = (0.8, 2.0);
--- a/sequoiacrank-kernel/src/edge/stage/run.rs
+++ b/sequoiacrank-kernel/src/edge/stage/run.rs
@@ -156,6 +156,11 @@
         Some((now.saturating_sub(at), expected))
     }
 
+    /// Stages that are not whole.
+    pub fn open(&self) -> impl Iterator<Item = usize> + '_ {
+        (0..self.pieces.len()).filter(|&stage| !self.is_whole(stage))
+    }
+
     /// Whether all pieces have results.
     pub fn done(&self) -> bool {
         (0..self.pieces.len()).all(|stage| self.is_whole(stage))
