Late only where even the fastest way is too slow; no wait for a crowded zone

Cause: work counted as late by its usual time, though a free slot would still have made it; pieces with large results waited for a zone whose only endpoint had more than a call ahead.

--- a/sequoiacrank-kernel/src/edge/stage.rs
+++ b/sequoiacrank-kernel/src/edge/stage.rs
@@ -223,7 +223,8 @@
         for (stage, work) in ask.stages.iter().enumerate() {
             let start = work.after.iter().filter_map(|&s| ends.get(s)).max().copied();
             let start = start.unwrap_or_default();
-            let due = ask.aim.saturating_sub(ask.tail + run::downstream(&ask.stages, stage, self));
+            let rest = run::downstream(&ask.stages, stage, |work| self.usual(work));
+            let due = ask.aim.saturating_sub(ask.tail + rest);
             let took = match self.lanes.get(&work.service) {
                 _ if work.pieces == 0 => time::Duration::ZERO,
                 Some(lane) => lane.time(
@@ -239,9 +240,15 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
-    /// Time that a stage of `service` usually takes.
-    fn usual(&self, service: &str) -> time::Duration {
-        self.lanes.get(service).map_or(time::Duration::ZERO, lane::Lane::usual)
+    /// Time that a stage usually takes.
+    fn usual(&self, work: &Work) -> time::Duration {
+        self.lanes.get(&work.service).map_or(time::Duration::ZERO, lane::Lane::usual)
+    }
+
+    /// Time that a stage takes if nothing else is to do.
+    fn fastest(&self, work: &Work) -> time::Duration {
+        let lane = self.lanes.get(&work.service);
+        lane.map_or(time::Duration::ZERO, |lane| lane.least(work.pieces as usize))
     }
 
     /// The availability zone for stages of a run whose results are large together: the one where their
@@ -297,8 +304,12 @@
         let Some(run) = self.runs.get(&id) else { return };
         let zone = self.zone(now, run, stage);
         let service = run.ask.stages[stage].service.clone();
-        let rest = run::downstream(&run.ask.stages, stage, self);
+        let stages = &run.ask.stages;
+        let rest = run::downstream(stages, stage, |work| self.usual(work));
         let due = run.ask.aim.saturating_sub(run.ask.tail + rest);
+        let least = run::downstream(stages, stage, |work| self.fastest(work));
+        let last = run.ask.aim.saturating_sub(run.ask.tail + least);
+        let patience = lane::Lane::patience(due.saturating_sub(now));
         let (count, bytes, rank, late) =
             (run.count(stage), run.ask.stages[stage].bytes, run.ask.rank, run.late);
         let Some(lane) = self.lanes.get_mut(&service) else { return };
@@ -307,12 +318,16 @@
         let expected = lane.time(now, time::Duration::ZERO, place, count);
         let pieces = (0..count).collect();
         let since = now;
+        // A zone in which it would wait too long is as good as any other.
+        let soon = |zone: &id::ZoneId| lane.zone_wait(now, zone).is_some_and(|it| it <= patience);
+        let zone = zone.filter(|zone| bytes < LARGE || soon(zone));
         lane.queue(lane::Group {
             run: id,
             stage,
             pieces,
             late,
             due,
+            last,
             rank,
             since,
             bytes,
@@ -421,6 +436,7 @@
             pieces: [piece].into(),
             late: run.late,
             due: now,
+            last: run.ask.aim,
             rank: run.ask.rank,
             since: now,
             bytes: work.bytes,
--- a/sequoiacrank-kernel/src/edge/stage/lane.rs
+++ b/sequoiacrank-kernel/src/edge/stage/lane.rs
@@ -15,8 +15,6 @@
 /// Calls for each slot whose worth of late work may wait. It uses what slots others leave; more of it
 /// would wait in vain until the callers leave.
 const LATE_CALLS: f64 = 0.25;
-/// Time past its latest start after which work counts as late: one tick, as long as a look may be late.
-const LATE_AFTER: time::Duration = time::Duration::from_millis(30);
 /// Weight of the newest stage in the ratio of real to expected times, and bounds of that ratio.
 const BIAS_WEIGHT: f64 = 0.05;
 const BIASES: (f64, f64) = (0.8, 2.0);
@@ -76,6 +74,8 @@
     pub late: bool,
     /// Latest time at which the stage starts for the run to be in time.
     pub due: id::Time,
+    /// Time after which the run can't be in time even if nothing else were to do.
+    pub last: id::Time,
     /// Rank of the run; 0 comes first.
     pub rank: u32,
     /// Time at which it was queued.
@@ -110,8 +110,7 @@
 
     /// Time until which it waits for an endpoint in its zone.
     fn patient(&self) -> id::Time {
-        let spare = self.due.saturating_sub(self.since) / ZONE_PART;
-        self.since + spare.min(ZONE_WAIT)
+        self.since + Lane::patience(self.due.saturating_sub(self.since))
     }
 }
 
@@ -383,7 +382,7 @@
 
     /// Puts work that can't be in time any more behind what can. Returns its runs.
     pub fn demote(&mut self, now: id::Time) -> Vec<stage::RunId> {
-        let over = |group: &Group| !group.late && now > group.due + LATE_AFTER;
+        let over = |group: &Group| !group.late && now > group.last;
         let runs: Vec<_> = self.groups.iter().filter(|it| over(it)).map(|it| it.run).collect();
         if !runs.is_empty() {
             for group in &mut self.groups {
@@ -464,10 +463,33 @@
         });
         let queued = self.groups.iter().filter(|group| group.zone.as_deref() == Some(zone));
         let queued: usize = queued.map(|group| group.pieces.len()).sum();
+        // Half of the work that runs is left on average.
         let running = f64::from(busy) * self.fill / 2.0;
         (count > 0).then(|| (queued as f64 + running) / f64::from(count))
     }
 
+    /// Time that work waits for an endpoint in `zone`; `None` if none serves there.
+    pub fn zone_wait(&self, now: id::Time, zone: &str) -> Option<time::Duration> {
+        let there = |slot: &&Slot| slot.zone == zone && now >= slot.passed && slot.pace < SLOW;
+        let free =
+            self.slots.values().filter(there).map(|slot| match slot.flight < self.batch.slots {
+                true => time::Duration::ZERO,
+                false => slot.free.saturating_sub(now),
+            });
+        let calls = self.load(now, zone)? / self.batch.pieces as f64;
+        Some(free.min()? + self.expected(self.batch.pieces) * calls as u32)
+    }
+
+    /// Least time of a stage with so many pieces.
+    pub fn least(&self, pieces: usize) -> time::Duration {
+        self.expected(pieces.min(self.batch.pieces))
+    }
+
+    /// Time that work with so much time to spare waits for an endpoint in its zone.
+    pub fn patience(spare: time::Duration) -> time::Duration {
+        (spare / ZONE_PART).min(ZONE_WAIT)
+    }
+
     /// Availability zones of the endpoints.
     pub fn zones(&self) -> std::collections::BTreeSet<id::ZoneId> {
         self.slots.values().map(|slot| slot.zone.clone()).collect()
--- a/sequoiacrank-kernel/src/edge/stage/run.rs
+++ b/sequoiacrank-kernel/src/edge/stage/run.rs
@@ -70,13 +70,16 @@
     (0..stages.len()).filter(needs)
 }
 
-/// Time that the longest chain of stages from `stage` on usually takes.
-pub fn downstream(stages: &[Work], stage: usize, board: &stage::Board) -> time::Duration {
+/// Time of the longest chain of stages from `stage` on, with that of each stage from `time`.
+pub fn downstream<F>(stages: &[Work], stage: usize, time: F) -> time::Duration
+where
+    F: Fn(&Work) -> time::Duration + Copy,
+{
     let own = match stages[stage].pieces {
         0 => time::Duration::ZERO,
-        _ => board.usual(&stages[stage].service),
+        _ => time(&stages[stage]),
     };
-    let rest = followers(stages, stage).map(|next| downstream(stages, next, board)).max();
+    let rest = followers(stages, stage).map(|next| downstream(stages, next, time)).max();
     own + rest.unwrap_or_default()
 }
 
