Two hosts read the endpoints' records for all; late connections of a stop get an answer

A connection that came in the last phase of a stop was closed without an answer every other time, because the order of the two branches was left to chance; the test of late requests found it.

--- a/sequoiacrank-edge/src/facts.rs
+++ b/sequoiacrank-edge/src/facts.rs
@@ -31,6 +31,10 @@
     pub budgets: map::FastMap<id::ServiceId, budget::Budget>,
     /// What tells the sessions of requests.
     pub sessions: session::Sessions,
+    /// Offset up to which other hosts were told of the endpoints' records.
+    pub told: id::Offset,
+    /// Offsets of the endpoints' records that say something new, by endpoint.
+    news: map::FastMap<id::EndpointId, id::Offset>,
     operators: records::Records<Bytes>,
     endpoints: records::Records<Bytes>,
     /// Endpoints whose entry lapsed in an outage, with the time at which they count as gone.
@@ -124,24 +128,27 @@
     fn endpoints_changed(&mut self, now: id::Time, changed: &[String]) -> bool {
         let mut usable = false;
         for id in changed {
+            let offset = self.endpoints.offset(id).unwrap_or_default();
             let entry = self.endpoints.get(id).map(|value| registration::decode(id, value));
             match entry {
                 Some(Some(entry)) => {
                     self.lapsed.remove(id);
-                    let before = self.fleet.get(id).map(|it| (it.leaving, it.address));
-                    let next = (entry.leaving, entry.address);
+                    let same = self.fleet.get(id).is_some_and(|it| it.is_same(&entry));
                     let leaving = entry.leaving;
                     let service = entry.service.clone();
                     let started = self.fleet.register(now, entry);
-                    if started || before != Some(next) {
+                    if !same {
+                        self.news.insert(id.clone(), offset);
                         usable = true;
-                        let offset = self.endpoints.offset(id);
                         log::info!(target: "endpoints", endpoint = id.as_str(), service = service.as_str(), started, leaving, offset; "registered");
                     }
                 }
                 // Not in the form of an entry: another writer's, which names no endpoint.
                 Some(None) => {}
-                None => usable |= self.gone(now, id),
+                None => {
+                    self.news.insert(id.clone(), offset);
+                    usable |= self.gone(now, id);
+                }
             }
         }
         usable
@@ -165,6 +172,14 @@
         }
     }
 
+    /// The endpoints' records from an offset on that say something new.
+    pub fn material(&self, from: id::Offset) -> Vec<store::Record> {
+        let new = |record: &store::Record| {
+            self.news.get(&record.key).is_some_and(|&offset| offset >= from)
+        };
+        self.endpoints.since(from).into_iter().filter(new).collect()
+    }
+
     /// Drops endpoints whose entry lapsed in an outage and did not come back. Returns whether there were any.
     pub fn expire(&mut self, now: id::Time) -> bool {
         let over: Vec<id::EndpointId> =
--- a/sequoiacrank-edge/src/front.rs
+++ b/sequoiacrank-edge/src/front.rs
@@ -70,6 +70,11 @@
         .max_headers(HEADERS)
         .serve_connection(rt::TokioIo::new(stream), handler);
     let mut connection = std::pin::pin!(connection);
+    if host.stop.is_closing() {
+        // Its first request is refused, and the refusal ends the connection.
+        let _ = connection.await;
+        return;
+    }
     let mut phases = host.stop.phases();
     let closing = async move {
         // The host ends only after it has told of this phase.
@@ -79,6 +84,7 @@
     };
     // Callers that went away are no fault of the host; what they asked for is logged where it was cancelled.
     tokio::select! {
+        biased;
         _ = connection.as_mut() => {}
         () = closing => {
             connection.as_mut().graceful_shutdown();
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -141,21 +141,42 @@
                 records: records.since(fetch.from).into_iter().map(wire::Record::from).collect(),
                 end: records.end(),
                 age: age.map_or(u64::MAX, millis),
+                from: fetch.from,
             }
         };
         self.peers.send(self, to, wire::Body::Records(records));
     }
 
+    /// Tells other hosts what the endpoints' records say that was just read.
+    pub fn tell(&self) {
+        let told = {
+            let mut facts = self.facts.borrow_mut();
+            let (from, end) = (facts.told, facts.records(topics::Topic::Endpoints).end());
+            facts.told = end;
+            let records = facts.material(from).into_iter().map(wire::Record::from).collect();
+            wire::Records { endpoints: true, records, end, age: 0, from }
+        };
+        for other in self.peers.alive(self.clock.now()) {
+            self.peers.send(self, other, wire::Body::Records(told.clone()));
+        }
+    }
+
     /// Takes records of another host over.
-    pub fn take(self: &rc::Rc<Self>, records: wire::Records) {
+    pub fn take(self: &rc::Rc<Self>, from: net::SocketAddr, records: wire::Records) {
         let now = self.clock.now();
+        let topic = topic(records.endpoints);
+        let own = self.facts.borrow().records(topic).end();
+        if records.from > own {
+            let fetch = wire::Fetch { endpoints: records.endpoints, from: own };
+            return self.peers.send(self, from, wire::Body::Fetch(fetch));
+        }
         let at = now.saturating_sub(time::Duration::from_millis(records.age));
         let page = topics::Page {
             records: records.records.into_iter().map(topics::Record::from).collect(),
             end: records.end,
             more: None,
         };
-        self.learn(topic(records.endpoints), page, false, at);
+        self.learn(topic, page, false, at);
     }
 
     /// Requests that one host may send to an endpoint of a service in a second, if that is bounded.
--- a/sequoiacrank-edge/src/peer/mod.rs
+++ b/sequoiacrank-edge/src/peer/mod.rs
@@ -303,7 +303,7 @@
     match frame.body {
         Some(wire::Body::Pulse(pulse)) => host.heard(from, &pulse),
         Some(wire::Body::Fetch(fetch)) => host.give(from, &fetch),
-        Some(wire::Body::Records(records)) => host.take(records),
+        Some(wire::Body::Records(records)) => host.take(from, records),
         Some(wire::Body::Ask(ask)) => host.batcher.asked(host, from, ask),
         Some(wire::Body::Release(ticket)) => host.batcher.released(host, from, ticket.ticket),
         Some(wire::Body::Taken(ticket)) => host.stages.taken(&ticket),
--- a/sequoiacrank-edge/src/peer/wire.rs
+++ b/sequoiacrank-edge/src/peer/wire.rs
@@ -129,6 +129,9 @@
     /// Age in milliseconds.
     #[prost(uint64, tag = "4")]
     pub age: u64,
+    /// Offset from which on all records that matter are here.
+    #[prost(uint64, tag = "5")]
+    pub from: u64,
 }
 
 /// One record of a topic.
--- a/sequoiacrank-edge/src/stages.rs
+++ b/sequoiacrank-edge/src/stages.rs
@@ -113,6 +113,12 @@
     (first != own).then_some(first)
 }
 
+/// Place of this host among those that live, in the order of batchers.
+pub fn place(host: &host::Host) -> usize {
+    let own = rank(&host.settings.peer);
+    host.peers.asked(host.clock.now()).iter().filter(|&other| rank(other) < own).count()
+}
+
 /// Place of a host in the order of batchers.
 fn rank(address: &net::SocketAddr) -> u64 {
     xxhash_rust::xxh3::xxh3_64(address.to_string().as_bytes())
--- a/sequoiacrank-edge/src/store.rs
+++ b/sequoiacrank-edge/src/store.rs
@@ -5,13 +5,20 @@
 
 use quick_error::quick_error;
 use sequoiacrank_adapter::store;
+use sequoiacrank_kernel::id;
 
 use crate::client;
 use crate::host;
+use crate::stages;
 
-/// Time that the store holds a read open that has nothing to return. Shorter ones cost calls, longer ones
-/// let a connection that went silent go unnoticed for as long.
-const HOLD: time::Duration = time::Duration::from_secs(5);
+/// Hosts that read the endpoints' records and tell the others. One more than is needed, so that the loss
+/// of one is not noticed.
+const READERS: usize = 2;
+/// Time that the store holds a read of a reader open that has nothing to return. A connection that went
+/// silent goes unnoticed for as long.
+const HOLD: time::Duration = time::Duration::from_secs(4);
+/// The same for other hosts, which hear of newer records from readers.
+const LONG_HOLD: time::Duration = time::Duration::from_secs(20);
 /// Time beyond that within which an answer must come.
 const EXTRA: time::Duration = time::Duration::from_millis(1000);
 /// Time within which other calls must be answered.
@@ -21,6 +28,10 @@
 /// Time between two reads of the endpoints' records: they are written every second or so, and what an
 /// endpoint says of leaving has to be known within two.
 const ENDPOINTS: time::Duration = time::Duration::from_millis(500);
+/// Age of the endpoints' records at which a host reads them itself: two readers have missed two turns.
+const STALE: time::Duration = time::Duration::from_millis(1100);
+/// Time between two looks at that age.
+const LOOK: time::Duration = time::Duration::from_millis(150);
 
 quick_error! {
     /// Why a topic could not be read.
@@ -67,38 +78,64 @@
     let from = host.facts.borrow().records(topic).end();
     let request = store::read(topic, from, wait);
     let answer = host.pool.call(host.settings.store, request, wait + EXTRA).await?;
+    let at = host.clock.now();
     match store::read_page(answer.status, answer.body, from)? {
-        store::Read::Page(page) => host.learn(topic, page, false, host.clock.now()),
-        store::Read::Gone => host.learn(topic, newest(host, topic).await?, true, host.clock.now()),
+        store::Read::Page(page) => host.learn(topic, page, false, at),
+        store::Read::Gone => host.learn(topic, newest(host, topic).await?, true, at),
     }
     Ok(())
 }
 
+/// Whether this host is one of those that read for all.
+fn is_reader(host: &host::Host) -> bool {
+    stages::place(host) < READERS
+}
+
+/// Waits until the endpoints' records are to be read by this host.
+async fn turn(host: &host::Host, last: id::Time) {
+    loop {
+        let now = host.clock.now();
+        let fresh = host.facts.borrow().records(store::Topic::Endpoints).fresh();
+        let stale = fresh.is_none_or(|at| now > at + STALE);
+        if now >= last + ENDPOINTS && (stale || is_reader(host)) {
+            return;
+        }
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
 /// Follows a topic for as long as the host runs.
 pub async fn follow(host: rc::Rc<host::Host>, topic: store::Topic) {
+    let name = format!("{topic:?}");
     let mut whole = false;
     let mut lost = false;
     loop {
         let began = host.clock.now();
-        let result = match whole {
-            false => newest(&host, topic).await.map(|page| host.learn(topic, page, true, began)),
-            true if topic == store::Topic::Operators => read(&host, topic, HOLD).await,
-            true => read(&host, topic, time::Duration::ZERO).await,
+        let result = match topic {
+            _ if !whole => {
+                newest(&host, topic).await.map(|page| host.learn(topic, page, true, began))
+            }
+            store::Topic::Operators => {
+                read(&host, topic, if is_reader(&host) { HOLD } else { LONG_HOLD }).await
+            }
+            _ => read(&host, topic, time::Duration::ZERO).await,
         };
         host.metrics.store_calls.inc();
         match result {
             Ok(()) => {
                 whole = true;
                 if std::mem::take(&mut lost) {
-                    log::info!(target: "store", topic = format!("{topic:?}").as_str(); "regained");
+                    log::info!(target: "store", topic = name.as_str(); "regained");
                 }
                 if topic == store::Topic::Endpoints {
-                    tokio::time::sleep(ENDPOINTS).await;
+                    host.tell();
+                    turn(&host, began).await;
                 }
             }
             Err(err) => {
                 if !std::mem::replace(&mut lost, true) {
-                    log::warn!(target: "store", topic = format!("{topic:?}").as_str(), err = err.to_string().as_str(); "lost");
+                    let err = err.to_string();
+                    log::warn!(target: "store", topic = name.as_str(), err = err.as_str(); "lost");
                 }
                 tokio::time::sleep(AGAIN).await;
             }
--- a/sequoiacrank-kernel/src/edge/endpoint.rs
+++ b/sequoiacrank-kernel/src/edge/endpoint.rs
@@ -27,3 +27,12 @@
     /// Time of its start by its own clock, in milliseconds since 1970; 0 if it does not say.
     pub born: u64,
 }
+
+impl Endpoint {
+    /// Whether another registration says the same, but for how long the endpoint is still cold: that it
+    /// is cold, not for how long, is news.
+    pub fn is_same(&self, other: &Endpoint) -> bool {
+        let warm = |it: &Endpoint| it.cold.is_zero();
+        warm(self) == warm(other) && *self == Endpoint { cold: self.cold, ..other.clone() }
+    }
+}
--- a/tests/edge/stop.rs
+++ b/tests/edge/stop.rs
@@ -61,7 +61,8 @@
     let answer = host.send(&caller::Request::new("POST", "/appraise/1", "a-2"));
     assert_eq!(answer.status, 503, "{answer:?}");
     assert!(answer.headers.contains_key("retry-after"));
-    assert!(first.join().expect("a caller").expect("a connection").whole);
+    let first = first.join().expect("a caller").expect("a connection");
+    assert!(first.whole, "{} events, {}", first.body.lines().count() / 3, host.log());
     assert!(host.wait().success());
     assert_eq!(endpoint.seen().len(), 1);
 }
