--- a/sequoiacrank-config/src/edge.rs
+++ b/sequoiacrank-config/src/edge.rs
@@ -30,6 +30,8 @@
     pub store: net::SocketAddr,
     /// Memory that the process may use, in megabytes.
     pub memory: u32,
+    /// Share of a core that the process may use, in thousandths.
+    pub cpu: u32,
     /// Time from SIGTERM to SIGKILL.
     pub grace: time::Duration,
     /// Time for which an endpoint serves on after it said that it leaves.
@@ -113,6 +115,7 @@
         let seeds = fields.or("seeds", Vec::new());
         let store = fields.need("store");
         let memory = fields.need("memory_mb");
+        let cpu = fields.or("cpu_share", 1.0);
         let grace = fields.need::<Span>("grace");
         let drain = fields.need::<Span>("drain");
         let heartbeat = fields.need::<Span>("heartbeat");
@@ -130,6 +133,7 @@
             seeds: seeds?,
             store: store?,
             memory: memory?,
+            cpu: (cpu? * 1000.0) as u32,
             grace: grace?.0,
             drain: drain?.0,
             heartbeat: heartbeat?.0,
--- a/sequoiacrank-edge/src/batcher.rs
+++ b/sequoiacrank-edge/src/batcher.rs
@@ -7,6 +7,7 @@
 
 use sequoiacrank_adapter::stage as wire_stage;
 use sequoiacrank_kernel::edge::stage;
+use sequoiacrank_kernel::edge::stage::shard;
 use sequoiacrank_kernel::id;
 use sequoiacrank_kernel::map;
 use tokio::sync::Notify;
@@ -14,6 +15,7 @@
 use tokio::task;
 
 use crate::client;
+use crate::facts;
 use crate::host;
 use crate::peer::wire;
 
@@ -31,7 +33,8 @@
 /// Stage work that this host forms into calls.
 #[derive(Default)]
 pub struct Batcher {
-    board: cell::RefCell<stage::Board>,
+    /// Boards by batcher; a board's number is its place.
+    boards: cell::RefCell<Vec<(shard::Shard, stage::Board)>>,
     owners: cell::RefCell<map::FastMap<stage::RunId, Owner>>,
     tickets: cell::RefCell<map::FastMap<(net::SocketAddr, u64), stage::RunId>>,
     work: Notify,
@@ -42,26 +45,51 @@
     pub fn update(&self, host: &rc::Rc<host::Host>) {
         {
             let facts = host.facts.borrow();
-            let Some(catalog) = &facts.catalog else { return };
-            let mut board = self.board.borrow_mut();
-            board.configure(catalog);
-            let usable = |entry: &&_| {
-                let entry: &sequoiacrank_kernel::edge::endpoint::Endpoint = entry;
-                !entry.leaving && !facts.fleet.is_out(&entry.zone)
-            };
-            board.endpoints(facts.fleet.entries().filter(usable));
+            for (shard, board) in self.boards.borrow_mut().iter_mut() {
+                equip(&facts, shard, board);
+            }
         }
         self.pump(host);
     }
 
+    /// Does something with the board of a batcher, which is made if there is none.
+    fn with<T, F>(&self, host: &host::Host, shard: &str, act: F) -> T
+    where
+        F: FnOnce(&mut stage::Board) -> T,
+    {
+        let mut boards = self.boards.borrow_mut();
+        let place = match boards.iter().position(|(name, _)| name == shard) {
+            Some(place) => place,
+            None => {
+                let mut board = stage::Board::numbered(boards.len() as u64);
+                equip(&host.facts.borrow(), shard, &mut board);
+                boards.push((shard.to_owned(), board));
+                boards.len() - 1
+            }
+        };
+        act(&mut boards[place].1)
+    }
+
+    /// Does something with the board to which a run or call belongs.
+    fn of<F>(&self, id: u64, act: F)
+    where
+        F: FnOnce(&mut stage::Board),
+    {
+        let place = stage::board_of(id) as usize;
+        if let Some((_, board)) = self.boards.borrow_mut().get_mut(place) {
+            act(board);
+        }
+    }
+
     /// Takes on work of this host, or refuses it.
     pub fn ask(
         &self,
         host: &rc::Rc<host::Host>,
+        shard: &str,
         ask: stage::Ask,
     ) -> (stage::Verdict, oneshot::Receiver<Option<Vec<stage::Handle>>>) {
         let (sender, receiver) = oneshot::channel();
-        let verdict = self.decide(host.clock.now(), ask);
+        let verdict = self.decide(host, shard, ask);
         if let stage::Verdict::Taken { run, .. } = verdict {
             self.owners.borrow_mut().insert(run, Owner::Own(sender));
         }
@@ -73,7 +101,8 @@
     pub fn asked(&self, host: &rc::Rc<host::Host>, from: net::SocketAddr, wire: wire::Ask) {
         let now = host.clock.now();
         let ticket = wire.ticket;
-        let verdict = self.decide(now, crate::stages::decode(now, wire));
+        let shard = wire.shard.clone();
+        let verdict = self.decide(host, &shard, crate::stages::decode(now, wire));
         let body = match verdict {
             stage::Verdict::Taken { run, .. } => {
                 self.owners.borrow_mut().insert(run, Owner::Other(from, ticket));
@@ -89,16 +118,15 @@
         self.pump(host);
     }
 
-    fn decide(&self, now: id::Time, ask: stage::Ask) -> stage::Verdict {
+    fn decide(&self, host: &host::Host, shard: &str, ask: stage::Ask) -> stage::Verdict {
+        let now = host.clock.now();
         let left = |time: id::Time| time.as_millis() as i64 - now.as_millis() as i64;
         let (id, rank, tail) = (ask.request.clone(), ask.rank, host::millis(ask.tail));
         let (aim, deadline) = (left(ask.aim), left(ask.deadline));
-        let mut board = self.board.borrow_mut();
-        let verdict = board.ask(now, ask);
+        let (verdict, runs) = self.with(host, shard, |board| (board.ask(now, ask), board.len()));
         if let stage::Verdict::Refused { after, expected } = verdict {
             let (after, expected) = (host::millis(after), host::millis(expected));
-            let runs = board.len();
-            log::info!(target: "stage", id = id.as_str(), rank, aim, deadline, tail, expected, after, runs; "refused");
+            log::info!(target: "stage", id = id.as_str(), shard, rank, aim, deadline, tail, expected, after, runs; "refused");
         }
         verdict
     }
@@ -106,7 +134,7 @@
     /// Gives up work of this host, or frees its results.
     pub fn release(&self, host: &rc::Rc<host::Host>, run: stage::RunId) {
         self.owners.borrow_mut().remove(&run);
-        self.board.borrow_mut().release(run);
+        self.of(run, |board| board.release(run));
         self.pump(host);
     }
 
@@ -120,11 +148,13 @@
 
     /// Number of requests whose stage work is here.
     pub fn len(&self) -> usize {
-        self.board.borrow().len()
+        self.boards.borrow().iter().map(|(_, board)| board.len()).sum()
     }
 
     fn pump(&self, host: &rc::Rc<host::Host>) {
-        let commands = self.board.borrow_mut().poll(host.clock.now());
+        let now = host.clock.now();
+        let poll = |(_, board): &mut (shard::Shard, stage::Board)| board.poll(now);
+        let commands: Vec<_> = self.boards.borrow_mut().iter_mut().flat_map(poll).collect();
         for command in commands {
             match command {
                 stage::Command::Call { call, endpoint, items, limit } => {
@@ -170,10 +200,20 @@
     }
 }
 
+/// Gives a board the configuration and its endpoints.
+fn equip(facts: &facts::Facts, shard: &str, board: &mut stage::Board) {
+    let Some(catalog) = &facts.catalog else { return };
+    board.configure(catalog);
+    board.endpoints(facts.usable().filter(|entry| shard::holds(shard, entry)));
+}
+
 /// Looks at calls that take too long for as long as there is work.
 pub async fn tick(host: rc::Rc<host::Host>) {
     loop {
-        let next = host.batcher.board.borrow().next_poll();
+        let next = {
+            let boards = host.batcher.boards.borrow();
+            boards.iter().filter_map(|(_, board)| board.next_poll()).min()
+        };
         match next {
             Some(pause) => {
                 tokio::time::sleep(pause).await;
@@ -202,11 +242,11 @@
         Ok(outcomes) => {
             let made = outcomes.iter().filter(|it| matches!(it, stage::Outcome::Made(_))).count();
             log::info!(target: "stage", endpoint = endpoint.as_str(), call, pieces, made, took; "call done");
-            host.batcher.board.borrow_mut().done(now, call, outcomes);
+            host.batcher.of(call, |board| board.done(now, call, outcomes));
         }
         Err(failure) => {
             log::info!(target: "stage", endpoint = endpoint.as_str(), call, pieces, took, failure = format!("{failure:?}").as_str(); "call failed");
-            host.batcher.board.borrow_mut().failed(now, call, failure);
+            host.batcher.of(call, |board| board.failed(now, call, failure));
         }
     }
     host.batcher.pump(&host);
--- a/sequoiacrank-edge/src/exchange.rs
+++ b/sequoiacrank-edge/src/exchange.rs
@@ -330,7 +330,8 @@
             zone,
         };
         let began = self.host.clock.now();
-        let results = stages::obtain(&self.host, ask).await;
+        let shard = self.host.facts.borrow().shards.choose(ask.zone.as_deref(), rand::random());
+        let results = stages::obtain(&self.host, &shard, ask).await;
         let took = host::millis(self.host.clock.now().saturating_sub(began));
         let id = self.head.attempt.as_str();
         match results {
--- a/sequoiacrank-edge/src/facts.rs
+++ b/sequoiacrank-edge/src/facts.rs
@@ -9,9 +9,11 @@
 use sequoiacrank_adapter::store;
 use sequoiacrank_kernel::edge::budget;
 use sequoiacrank_kernel::edge::catalog;
+use sequoiacrank_kernel::edge::endpoint;
 use sequoiacrank_kernel::edge::fleet;
 use sequoiacrank_kernel::edge::records;
 use sequoiacrank_kernel::edge::session;
+use sequoiacrank_kernel::edge::stage::shard;
 use sequoiacrank_kernel::id;
 use sequoiacrank_kernel::map;
 
@@ -31,6 +33,8 @@
     pub budgets: map::FastMap<id::ServiceId, budget::Budget>,
     /// What tells the sessions of requests.
     pub sessions: session::Sessions,
+    /// Batchers of stage work.
+    pub shards: shard::Shards,
     /// Offset up to which other hosts were told of the endpoints' records.
     pub told: id::Offset,
     /// Offsets of the endpoints' records that say something new, by endpoint.
@@ -76,10 +80,27 @@
             true => records.replace(page.records, page.end, at),
             false => records.merge(page.records, page.end, at),
         };
-        match topic {
+        let usable = match topic {
             store::Topic::Operators => self.operators_changed(&changed),
             _ => self.endpoints_changed(now, &changed),
+        };
+        if usable {
+            self.reshard();
         }
+        usable
+    }
+
+    fn reshard(&mut self) {
+        if let Some(catalog) = self.catalog.clone() {
+            self.shards = shard::Shards::new(&catalog, self.usable());
+        }
+    }
+
+    /// Endpoints to which new work may go.
+    pub fn usable(&self) -> impl Iterator<Item = &endpoint::Endpoint> {
+        let usable =
+            |entry: &&endpoint::Endpoint| !entry.leaving && !self.fleet.is_out(&entry.zone);
+        self.fleet.entries().filter(usable)
     }
 
     fn operators_changed(&mut self, changed: &[String]) -> bool {
@@ -189,6 +210,9 @@
             self.fleet.remove(id);
             log::info!(target: "endpoints", endpoint = id.as_str(); "gone after an outage");
         }
+        if !over.is_empty() {
+            self.reshard();
+        }
         !over.is_empty()
     }
 
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -102,6 +102,7 @@
             number,
             heard: 0,
             process: self.process,
+            cpu: self.settings.cpu,
         }
     }
 
--- a/sequoiacrank-edge/src/peer/mod.rs
+++ b/sequoiacrank-edge/src/peer/mod.rs
@@ -58,6 +58,8 @@
     echoed: u64,
     /// Names the process that was heard last.
     process: u64,
+    /// Its share of a core, in thousandths.
+    cpu: u32,
     /// Number of the own pulse at which the connection was made.
     renewed: u64,
 }
@@ -86,11 +88,11 @@
         alive.map(|(&address, _)| address).collect()
     }
 
-    /// Hosts of which work may be asked.
-    pub fn asked(&self, now: id::Time) -> Vec<net::SocketAddr> {
+    /// Hosts of which work may be asked, with their share of a core in thousandths.
+    pub fn asked(&self, now: id::Time) -> Vec<(net::SocketAddr, u32)> {
         let links = self.links.borrow();
         let usable = |link: &Link| is_alive(link, now) && !link.leaving && now >= link.passed;
-        links.iter().filter(|(_, link)| usable(link)).map(|(&address, _)| address).collect()
+        links.iter().filter(|(_, link)| usable(link)).map(|(&it, link)| (it, link.cpu)).collect()
     }
 
     /// Names the process of a host that is heard; a restarted one knows nothing of before.
@@ -134,6 +136,7 @@
             number: 0,
             echoed: 0,
             process: 0,
+            cpu: 0,
             renewed: self.number.get(),
         };
         self.links.borrow_mut().insert(address, link);
@@ -212,6 +215,7 @@
             link.number = pulse.number;
             link.echoed = pulse.heard;
             link.process = pulse.process;
+            link.cpu = pulse.cpu;
         }
     }
 }
--- a/sequoiacrank-edge/src/peer/wire.rs
+++ b/sequoiacrank-edge/src/peer/wire.rs
@@ -101,6 +101,9 @@
     /// Drawn at the start of the sender's process.
     #[prost(uint64, tag = "8")]
     pub process: u64,
+    /// Share of a core that the sender may use, in thousandths.
+    #[prost(uint32, tag = "9")]
+    pub cpu: u32,
 }
 
 /// Asks for records of a topic.
@@ -190,6 +193,9 @@
     /// Rank of the request; 0 comes first.
     #[prost(uint32, tag = "9")]
     pub rank: u32,
+    /// Batcher that is to do it.
+    #[prost(string, tag = "10")]
+    pub shard: String,
 }
 
 /// One stage.
--- a/sequoiacrank-edge/src/stages.rs
+++ b/sequoiacrank-edge/src/stages.rs
@@ -1,6 +1,7 @@
 //! Asks for the stage work of requests: at the host that forms calls, or here if there is no other.
 
 use std::cell;
+use std::cmp;
 use std::net;
 use std::rc;
 use std::time;
@@ -100,39 +101,46 @@
     }
 }
 
-/// The host that forms calls, among those of which work may be asked and this one. All hosts agree on it as
-/// far as they agree on who lives.
-fn batcher(host: &host::Host, avoid: &[net::SocketAddr]) -> Option<net::SocketAddr> {
-    let own = host.settings.peer;
+/// The host that forms the calls of a batcher, among those of which work may be asked and this one. All
+/// hosts agree on it as far as they agree on who lives.
+fn batcher(host: &host::Host, shard: &str, avoid: &[net::SocketAddr]) -> Option<net::SocketAddr> {
+    let own = (host.settings.peer, host.settings.cpu);
     let mut hosts = host.peers.asked(host.clock.now());
-    hosts.retain(|address| !avoid.contains(address));
+    hosts.retain(|(address, _)| !avoid.contains(address));
     if !host.stop.is_leaving() || hosts.is_empty() {
         hosts.push(own);
     }
-    let first = hosts.into_iter().min_by_key(rank)?;
-    (first != own).then_some(first)
+    let (first, _) = hosts.into_iter().min_by_key(|it| rank(shard, it))?;
+    (first != own.0).then_some(first)
 }
 
-/// Place of this host among those that live, in the order of batchers.
+/// Place of this host among those that live, in the order of one batcher.
 pub fn place(host: &host::Host) -> usize {
-    let own = rank(&host.settings.peer);
-    host.peers.asked(host.clock.now()).iter().filter(|&other| rank(other) < own).count()
+    let own = rank("", &(host.settings.peer, host.settings.cpu));
+    host.peers.asked(host.clock.now()).iter().filter(|other| rank("", other) < own).count()
 }
 
-/// Place of a host in the order of batchers.
-fn rank(address: &net::SocketAddr) -> u64 {
-    xxhash_rust::xxh3::xxh3_64(address.to_string().as_bytes())
+/// Place of a host in the order of a batcher: strong ones first, then each batcher in its own order.
+fn rank(shard: &str, (address, cpu): &(net::SocketAddr, u32)) -> (cmp::Reverse<u32>, u64) {
+    let hash = xxhash_rust::xxh3::xxh3_64(format!("{shard} {address}").as_bytes());
+    (cmp::Reverse(*cpu), hash)
 }
 
 /// Gets the results of `ask`.
-pub async fn obtain(host: &rc::Rc<host::Host>, ask: stage::Ask) -> Result<Results, Refusal> {
+pub async fn obtain(
+    host: &rc::Rc<host::Host>,
+    shard: &str,
+    ask: stage::Ask,
+) -> Result<Results, Refusal> {
     if let Some(left) = host.peers.unsettled(host.clock.now()) {
         tokio::time::sleep(left).await;
     }
     let mut avoid = Vec::new();
     while avoid.len() < HOSTS {
-        let Some(address) = batcher(host, &avoid) else { return here(host, ask).await };
-        match there(host, &ask, address).await {
+        let Some(address) = batcher(host, shard, &avoid) else {
+            return here(host, shard, ask).await;
+        };
+        match there(host, shard, &ask, address).await {
             Some(result) => return result,
             None => avoid.push(address),
         }
@@ -140,12 +148,12 @@
             return Err(Refusal::Failed);
         }
     }
-    here(host, ask).await
+    here(host, shard, ask).await
 }
 
-async fn here(host: &rc::Rc<host::Host>, ask: stage::Ask) -> Result<Results, Refusal> {
+async fn here(host: &rc::Rc<host::Host>, shard: &str, ask: stage::Ask) -> Result<Results, Refusal> {
     let left = ask.deadline.saturating_sub(host.clock.now());
-    let (verdict, receiver) = host.batcher.ask(host, ask);
+    let (verdict, receiver) = host.batcher.ask(host, shard, ask);
     match verdict {
         stage::Verdict::Refused { after, .. } => Err(Refusal::Late(after)),
         stage::Verdict::Taken { run, .. } => {
@@ -165,6 +173,7 @@
 /// Gets results from another host; `None` if it does not answer in time.
 async fn there(
     host: &rc::Rc<host::Host>,
+    shard: &str,
     ask: &stage::Ask,
     address: net::SocketAddr,
 ) -> Option<Result<Results, Refusal>> {
@@ -174,7 +183,7 @@
     host.stages.waiting.borrow_mut().insert(ticket, sender);
     let place = Place::There(address, ticket);
     let mut results = Results { host: host.clone(), place, handles: Vec::new() };
-    let wire = encode(host.clock.now(), ticket, ask);
+    let wire = encode(host.clock.now(), ticket, shard, ask);
     host.peers.send(host, address, wire::Body::Ask(wire));
     let process = host.peers.process(host.clock.now(), address);
     let mut taken = false;
@@ -201,7 +210,7 @@
     }
 }
 
-fn encode(now: id::Time, ticket: u64, ask: &stage::Ask) -> wire::Ask {
+fn encode(now: id::Time, ticket: u64, shard: &str, ask: &stage::Ask) -> wire::Ask {
     let work = |work: &stage::Work| wire::Work {
         service: work.service.clone(),
         after: work.after.iter().map(|&stage| stage as u32).collect(),
@@ -210,6 +219,7 @@
     };
     wire::Ask {
         ticket,
+        shard: shard.to_owned(),
         request: ask.request.clone(),
         key: ask.key.clone(),
         stages: ask.stages.iter().map(work).collect(),
--- a/sequoiacrank-kernel/src/edge/stage.rs
+++ b/sequoiacrank-kernel/src/edge/stage.rs
@@ -8,6 +8,7 @@
 
 pub mod lane;
 mod run;
+pub mod shard;
 
 use std::time;
 
@@ -163,7 +164,20 @@
     commands: Vec<Command>,
 }
 
+/// Bits of an id that tell the runs and calls of one board; those above tell the boards.
+const BOARD_BITS: u32 = 40;
+
+/// Number of the board to which a run or call belongs.
+pub fn board_of(id: u64) -> u64 {
+    id >> BOARD_BITS
+}
+
 impl Board {
+    /// An empty board whose ids differ from those of boards with other numbers.
+    pub fn numbered(number: u64) -> Self {
+        Board { next: number << BOARD_BITS, ..Board::default() }
+    }
+
     /// Takes over the services of a configuration.
     pub fn configure(&mut self, catalog: &catalog::Catalog) {
         for service in catalog.services() {
