--- a/sequoiacrank-kernel/src/edge/stage/lane.rs
+++ b/sequoiacrank-kernel/src/edge/stage/lane.rs
@@ -14,9 +14,9 @@
 pub const OVERDUE_EXTRA: time::Duration = time::Duration::from_millis(150);
 /// Calls for each slot whose worth of late work may wait. It uses what slots others leave; more of it
 /// would wait in vain until the callers leave.
-const LATE_CALLS: f64 = 0.25;
+const LATE_CALLS: f64 = 0.2;
 /// Weight of the newest stage in the ratio of real to expected times, and bounds of that ratio.
-const BIAS_WEIGHT: f64 = 0.05;
+const BIAS_WEIGHT: f64 = 0.02;
 const BIASES: (f64, f64) = (0.8, 2.0);
 /// Time for which an endpoint that had no memory for a result gets no more results than it holds.
 const TIGHT: time::Duration = time::Duration::from_millis(700);
@@ -24,13 +24,13 @@
 /// read: about the time of a call, after which an endpoint of that zone has been free.
 const ZONE_WAIT: time::Duration = time::Duration::from_millis(200);
 /// Part of the time that a stage has to spare which may be spent on that.
-const ZONE_PART: u32 = 3;
+const ZONE_PART: u32 = 2;
 /// Time by which the work of one rank may be put behind that of the next more urgent one.
 const RANK_STEP: time::Duration = time::Duration::from_millis(300);
 /// Ranks that are told apart.
 pub const RANKS: usize = 4;
 /// Span over which the rate of pieces is measured: a few calls, so that a burst shows within one.
-const RATE_SPAN: time::Duration = time::Duration::from_millis(700);
+const RATE_SPAN: time::Duration = time::Duration::from_millis(400);
 /// Pieces that a call takes beyond what keeps up with the rate.
 const KEEP_UP: f64 = 1.2;
 /// Ratio of the time of calls to the expected from which on an endpoint is slow.
