--- a/sequoiacrank-edge/src/exchange.rs
+++ b/sequoiacrank-edge/src/exchange.rs
@@ -264,7 +264,7 @@
 impl host::Host {
     /// The bound on repeats of all hosts together.
     fn bound(&self) -> budget::Bound {
-        let retries = &self.settings.retries;
+        let retries = self.tuning.borrow().retries;
         budget::Bound { ratio: retries.ratio, slack: retries.slack, span: retries.span }
     }
 }
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -25,15 +25,49 @@
 use crate::stop;
 use crate::store;
 
+/// Time between two looks at the settings, which may change without a signal.
+const RELOAD: time::Duration = time::Duration::from_secs(5);
+/// Why settings are read without a signal; logged only if they changed.
+const QUIET: &str = "time";
 /// Time between two looks at what only time changes.
 const HOUSEKEEPING: time::Duration = time::Duration::from_millis(500);
 
+/// Reads the settings once more; `None` if they can't be read or do not check.
+pub type Source = Box<dyn Fn() -> Option<edge::Settings>>;
+
+/// Settings that a reload changes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tuning {
+    /// Addresses of a few other hosts.
+    pub seeds: Vec<net::SocketAddr>,
+    /// Requests that are sent once more; all hosts together.
+    pub retries: edge::Retries,
+    /// Requests that a cold endpoint gets; all hosts together.
+    pub cold: edge::Cold,
+    /// Time from SIGTERM to SIGKILL.
+    pub grace: time::Duration,
+}
+
+impl From<&edge::Settings> for Tuning {
+    fn from(settings: &edge::Settings) -> Self {
+        Tuning {
+            seeds: settings.seeds.clone(),
+            retries: settings.retries,
+            cold: settings.cold,
+            grace: settings.grace,
+        }
+    }
+}
+
 /// The state of a host.
 pub struct Host {
     /// Names this process to other hosts.
     process: u64,
-    /// Settings.
+    /// Settings as of the start; addresses and names hold until the process ends.
     pub settings: edge::Settings,
+    /// Settings that a reload changes.
+    pub tuning: cell::RefCell<Tuning>,
+    source: Source,
     /// Clock of the process.
     pub clock: clock::Clock,
     /// Connections to endpoints and to the store.
@@ -55,7 +89,7 @@
 }
 
 impl Host {
-    fn new(settings: edge::Settings) -> Self {
+    fn new(settings: edge::Settings, source: Source) -> Self {
         let clock = clock::Clock::new();
         Host {
             clock,
@@ -68,10 +102,26 @@
             metrics: metrics::Metrics::new(),
             stop: stop::Stop::default(),
             tails: cell::RefCell::default(),
+            tuning: cell::RefCell::new(Tuning::from(&settings)),
+            source,
             settings,
         }
     }
 
+    /// Reads the settings once more and takes over what may change.
+    pub fn reload(&self, why: &str) {
+        let Some(settings) = (self.source)() else {
+            log::error!(target: "process", why; "settings not read, the old ones hold");
+            return;
+        };
+        let next = Tuning::from(&settings);
+        let changed = *self.tuning.borrow() != next;
+        if changed || why != QUIET {
+            log::info!(target: "process", why, changed; "settings read");
+        }
+        *self.tuning.borrow_mut() = next;
+    }
+
     /// Takes over records of the store as they stood at `at`.
     pub fn learn(
         self: &rc::Rc<Self>,
@@ -182,8 +232,9 @@
 
     /// Requests that one host may send to an endpoint of a service in a second, if that is bounded.
     pub fn rate(&self, cold_rate: f64) -> Option<usize> {
+        let cold = self.tuning.borrow().cold;
         let hosts = self.peers.count(self.clock.now()) as f64;
-        let bound = cold_rate * self.settings.cold.overshoot + self.settings.cold.slack;
+        let bound = cold_rate * cold.overshoot + cold.slack;
         (cold_rate > 0.0).then(|| (bound / hosts).floor().max(1.0) as usize)
     }
 }
@@ -205,12 +256,12 @@
 }
 
 /// Runs a host until it has stopped.
-pub async fn run(settings: edge::Settings) -> Result<(), Error> {
+pub async fn run(settings: edge::Settings, source: Source) -> Result<(), Error> {
     let callers = listen("address for callers", settings.listen).await?;
     let readiness = listen("address for readiness", settings.readiness).await?;
     let hosts = listen("address for hosts", settings.peer).await?;
     let metrics = listen("address for metrics", settings.metrics).await?;
-    let host = rc::Rc::new(Host::new(settings));
+    let host = rc::Rc::new(Host::new(settings, source));
     let zone = host.settings.zone.as_str();
     log::info!(target: "process", zone, version = env!("CARGO_PKG_VERSION"); "started");
     task::spawn_local(front::callers(host.clone(), callers));
@@ -229,7 +280,8 @@
 
 async fn pulses(host: rc::Rc<Host>) {
     loop {
-        for &seed in &host.settings.seeds {
+        let seeds = host.tuning.borrow().seeds.clone();
+        for seed in seeds {
             host.peers.add(&host, seed);
         }
         host.peers.pulse(&host);
@@ -238,8 +290,13 @@
 }
 
 async fn housekeeping(host: rc::Rc<Host>) {
+    let mut read = host.clock.now();
     loop {
         tokio::time::sleep(HOUSEKEEPING).await;
+        if host.clock.now() > read + RELOAD {
+            read = host.clock.now();
+            host.reload(QUIET);
+        }
         host.pool.sweep();
         let gone = host.facts.borrow_mut().expire(host.clock.now());
         if gone {
--- a/sequoiacrank-edge/src/lib.rs
+++ b/sequoiacrank-edge/src/lib.rs
@@ -28,6 +28,8 @@
 use tokio::runtime;
 use tokio::task;
 
+pub use host::Source;
+
 quick_error! {
     /// Why a host could not start.
     #[derive(Debug)]
@@ -40,16 +42,17 @@
     }
 }
 
-/// Runs a host until it is asked to stop by SIGTERM or SIGINT and its requests have ended.
+/// Runs a host until it is asked to stop by SIGTERM or SIGINT and its requests have ended. On SIGHUP, and
+/// every few seconds, it takes over what `source` says of the settings that may change.
 ///
 /// # Errors
 ///
 /// When an address of `settings` can't be listened on.
-pub fn run(settings: edge::Settings) -> Result<(), Error> {
+pub fn run(settings: edge::Settings, source: Source) -> Result<(), Error> {
     let runtime = runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|err| Error::Io("event loop", err))?;
     let local = task::LocalSet::new();
-    let result = local.block_on(&runtime, host::run(settings));
+    let result = local.block_on(&runtime, host::run(settings, source));
     logs::flush();
     result
 }
--- a/sequoiacrank-edge/src/stop.rs
+++ b/sequoiacrank-edge/src/stop.rs
@@ -88,7 +88,7 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = reload.recv() => log::info!(target: "process", "settings unchanged"),
+            _ = reload.recv() => host.reload("SIGHUP"),
         }
     }
     let began = host.clock.now();
@@ -97,7 +97,7 @@
     log::info!(target: "process", requests = host.stop.count(); "stopping");
     tokio::time::sleep(ACCEPT).await;
     host.stop.phase.send_replace(Phase::Closing);
-    let last = began + host.settings.grace.mul_f64(1.0 - RESERVE);
+    let last = began + host.tuning.borrow().grace.mul_f64(1.0 - RESERVE);
     while host.clock.now() < last && (host.stop.count() > 0 || host.batcher.len() > 0) {
         tokio::time::sleep(LOOK).await;
     }
--- a/src/command/edge.rs
+++ b/src/command/edge.rs
@@ -24,5 +24,9 @@
     };
     let failed = |detail: String| exit::Error::Failed(detail);
     logs::setup(&settings.host).map_err(|err| failed(err.to_string()))?;
-    sequoiacrank_edge::run(settings).map_err(|err| failed(err.to_string()))
+    let again = move || {
+        let source = super::read(&file).ok()?;
+        edge::parse(&source.file, &source.text).ok()
+    };
+    sequoiacrank_edge::run(settings, Box::new(again)).map_err(|err| failed(err.to_string()))
 }
--- a/tests/edge/fleet.rs
+++ b/tests/edge/fleet.rs
@@ -107,8 +107,20 @@
 
     /// Sends SIGTERM.
     pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Changes the settings file and sends SIGHUP.
+    pub fn reload(&self, from: &str, to: &str) {
+        let text = fs::read_to_string(&self.settings).expect("settings");
+        assert!(text.contains(from), "{text}");
+        fs::write(&self.settings, text.replace(from, to)).expect("settings are written");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, signal: &str) {
         let id = self.process.id().to_string();
-        let done = process::Command::new("kill").args(["-TERM", &id]).status();
+        let done = process::Command::new("kill").args([signal, &id]).status();
         assert!(done.expect("a signal").success());
     }
 
--- a/tests/edge/stop.rs
+++ b/tests/edge/stop.rs
@@ -66,3 +66,21 @@
     assert!(host.wait().success());
     assert_eq!(endpoint.seen().len(), 1);
 }
+
+/// Settings that change on SIGHUP hold at once, and no request is cut by it.
+#[test]
+fn a_reload_takes_over_settings_and_cuts_nothing() {
+    let work = endpoint::Work::Stream(10, time::Duration::from_millis(100));
+    let (_store, _endpoint, host) = site(work);
+    let to = host.callers;
+    let call = thread::spawn(move || {
+        caller::send(to, &caller::Request::new("POST", "/appraise/1", "a-1"))
+    });
+    thread::sleep(time::Duration::from_millis(200));
+    host.reload("\"slack\":54", "\"slack\":20");
+    fleet::until("the change is logged", || host.log().contains("\"changed\":\"true\""));
+    assert!(call.join().expect("a caller").expect("a connection").whole);
+    host.reload("\"slack\":20", "\"slack\":\"much\"");
+    fleet::until("the error is logged", || host.log().contains("the old ones hold"));
+    assert_eq!(host.send(&caller::Request::new("POST", "/appraise/1", "a-2")).status, 200);
+}
