Explain tells the story of a request; work without an endpoint is refused at once

A request whose stage service had no endpoint was held to its deadline (4.8 s); found by the test of explain.

--- a/sequoiacrank-edge/src/batcher.rs
+++ b/sequoiacrank-edge/src/batcher.rs
@@ -126,7 +126,7 @@
         let (verdict, runs) = self.with(host, shard, |board| (board.ask(now, ask), board.len()));
         if let stage::Verdict::Refused { after, expected } = verdict {
             let (after, expected) = (host::millis(after), host::millis(expected));
-            log::info!(target: "stage", id = id.as_str(), shard, rank, aim, deadline, tail, expected, after, runs; "refused");
+            log::warn!(target: "stage", id = id.as_str(), shard, rank, aim, deadline, tail, expected, after, runs; "refused");
         }
         verdict
     }
@@ -236,22 +236,31 @@
     let now = host.clock.now();
     let took = host::millis(now.saturating_sub(began));
     let pieces = items.len();
+    let requests = requests(&items);
+    let requests = requests.as_str();
     host.metrics.stage_calls.inc();
     host.metrics.stage_pieces.inc_by(pieces as u64);
     match result {
         Ok(outcomes) => {
             let made = outcomes.iter().filter(|it| matches!(it, stage::Outcome::Made(_))).count();
-            log::info!(target: "stage", endpoint = endpoint.as_str(), call, pieces, made, took; "call done");
+            log::info!(target: "stage", endpoint = endpoint.as_str(), call, pieces, made, took, requests; "call done");
             host.batcher.of(call, |board| board.done(now, call, outcomes));
         }
         Err(failure) => {
-            log::info!(target: "stage", endpoint = endpoint.as_str(), call, pieces, took, failure = format!("{failure:?}").as_str(); "call failed");
+            log::warn!(target: "stage", endpoint = endpoint.as_str(), call, pieces, took, requests, failure = format!("{failure:?}").as_str(); "call failed");
             host.batcher.of(call, |board| board.failed(now, call, failure));
         }
     }
     host.batcher.pump(&host);
 }
 
+/// Ids of the requests of a call, each once.
+fn requests(items: &[stage::Item]) -> String {
+    let mut ids: Vec<&str> = items.iter().map(|item| item.request.as_str()).collect();
+    ids.dedup();
+    ids.join(",")
+}
+
 async fn send(
     host: &host::Host,
     endpoint: &str,
--- a/sequoiacrank-edge/src/exchange.rs
+++ b/sequoiacrank-edge/src/exchange.rs
@@ -199,7 +199,7 @@
     let refuse = |refusal: Refusal, id: &str| {
         let number = refusal.code.number();
         host.metrics.requests.with_label_values(&["", &number.to_string()]).inc();
-        log::info!(target: "request", id, code = number, path = parts.uri.path(); "refused");
+        log::warn!(target: "request", id, code = number, path = parts.uri.path(); "refused");
         refusal
     };
     let head = match ingress::Head::decode(&parts) {
@@ -284,7 +284,7 @@
             .requests
             .with_label_values(&[&self.route.name, &number.to_string()])
             .inc();
-        log::info!(target: "request", id = self.head.attempt.as_str(), route = self.route.name.as_str(), code = number, sends = self.sends.get(), took, after; "refused");
+        log::warn!(target: "request", id = self.head.attempt.as_str(), route = self.route.name.as_str(), code = number, sends = self.sends.get(), took, after; "refused");
         refusal.answer()
     }
 
@@ -342,7 +342,7 @@
             }
             Err(refusal) => {
                 let reason = format!("{refusal:?}");
-                log::info!(target: "request", id, took, reason = reason.as_str(); "stages refused");
+                log::warn!(target: "request", id, took, reason = reason.as_str(); "stages refused");
                 match refusal {
                     stages::Refusal::Late(after) => {
                         Err(Refusal { code: code::Code::TooSlow, after: Some(after) })
@@ -501,7 +501,7 @@
         let took = host::millis(host.clock.now().saturating_sub(self.began));
         match marks {
             call::Answer { refused: true, moved, .. } => {
-                log::info!(target: "request", id, endpoint, status, took; "endpoint refused");
+                log::warn!(target: "request", id, endpoint, status, took; "endpoint refused");
                 flight.end(if moved { fleet::End::Lost } else { fleet::End::Full });
                 Err(Miss::Refused(head.status))
             }
@@ -518,7 +518,7 @@
         let id = self.head.attempt.as_str();
         let reason = err.to_string();
         let took = host::millis(self.host.clock.now().saturating_sub(self.began));
-        log::info!(target: "request", id, endpoint = flight.endpoint.as_str(), took, reason = reason.as_str(); "send failed");
+        log::warn!(target: "request", id, endpoint = flight.endpoint.as_str(), took, reason = reason.as_str(); "send failed");
         let (end, miss) = match err {
             client::Error::Connect(_) => (fleet::End::Lost, Miss::Unsent),
             client::Error::Time if self.left() < LEAST => {
--- a/sequoiacrank-edge/src/logs.rs
+++ b/sequoiacrank-edge/src/logs.rs
@@ -16,6 +16,8 @@
 
 /// Lines that wait to be written at most.
 const QUEUE: usize = 4096;
+/// Lines that wait from which on only warnings and errors are taken.
+const ROUTINE: usize = QUEUE / 4 * 3;
 /// Time between two writes. Each wake-up of the writer costs processor time.
 const PAUSE: time::Duration = time::Duration::from_millis(200);
 
@@ -58,11 +60,17 @@
         key: kv::KeyView<'_>,
         value: kv::ValueView<'_>,
     ) -> Result<(), logforth::Error> {
-        let value = match (value.to_i64(), value.to_f64()) {
-            (Some(number), _) => number.into(),
-            (None, Some(number)) => number.into(),
-            (None, None) => value.to_string().into(),
+        let value: serde_json::Value = match () {
+            () if let Some(number) = value.to_u64() => number.into(),
+            () if let Some(number) = value.to_i64() => number.into(),
+            () if let Some(number) = value.to_f64() => number.into(),
+            () if let Some(flag) = value.to_bool() => flag.into(),
+            () => value.to_string().into(),
         };
+        // An input that there was not.
+        if value == "None" {
+            return Ok(());
+        }
         self.0.insert(key.to_string(), value);
         Ok(())
     }
@@ -75,7 +83,9 @@
         _: &[Box<dyn logforth::Diagnostic>],
     ) -> Result<(), logforth::Error> {
         let Some((lines, _)) = LINES.get() else { return Ok(()) };
-        if lines.is_full() {
+        // Refusals, failures and losses are logged as warnings and are the last to be left out.
+        let routine = record.level() > record::Level::Warn;
+        if lines.is_full() || (routine && lines.len() > ROUTINE) {
             DROPPED.fetch_add(1, atomic::Ordering::Relaxed);
             return Ok(());
         }
--- a/sequoiacrank-kernel/src/edge/stage.rs
+++ b/sequoiacrank-kernel/src/edge/stage.rs
@@ -39,6 +39,9 @@
 /// Time that a run of each rank must have to spare beyond that of the next more urgent one: more urgent
 /// work that comes later goes before it.
 const RANK_SPARE: time::Duration = time::Duration::from_millis(120);
+/// Longest time after which a refused caller is asked to come back: endpoints that are lost are back, or
+/// known to be gone, by then.
+const LATEST_RETURN: time::Duration = time::Duration::from_secs(2);
 /// Bytes that a stage's results bring to the next stage from which on both are done in one zone.
 const LARGE: u64 = 500_000;
 
@@ -215,7 +218,7 @@
         };
         if refused {
             let after = end.saturating_sub(ask.aim).max(lane::TICK * 4);
-            let after = after.min(ask.deadline.saturating_sub(now));
+            let after = after.min(ask.deadline.saturating_sub(now)).min(LATEST_RETURN);
             return Verdict::Refused { after, expected };
         }
         self.next += 1;
@@ -247,7 +250,7 @@
                     lane::Place { late: false, due, rank: ask.rank },
                     work.pieces,
                 ),
-                None => time::Duration::MAX / 4,
+                None => lane::NEVER,
             };
             ends.push(start.saturating_add(took));
         }
--- a/sequoiacrank-kernel/src/edge/stage/lane.rs
+++ b/sequoiacrank-kernel/src/edge/stage/lane.rs
@@ -20,6 +20,8 @@
 const BIASES: (f64, f64) = (0.8, 2.0);
 /// Time for which an endpoint that had no memory for a result gets no more results than it holds.
 const TIGHT: time::Duration = time::Duration::from_millis(700);
+/// Stands for the time until there is an endpoint; above any deadline.
+pub const NEVER: time::Duration = time::Duration::from_secs(24 * 3600);
 /// Longest time that a piece waits for an endpoint in the zone where its inputs lie or its result will be
 /// read: about the time of a call, after which an endpoint of that zone has been free.
 const ZONE_WAIT: time::Duration = time::Duration::from_millis(200);
@@ -327,13 +329,13 @@
     }
 
     fn wait_for(&self, now: id::Time, ahead: usize) -> time::Duration {
-        let idle = |slot: &&Slot| now >= slot.passed && slot.pace < SLOW;
-        let free =
-            self.slots.values().filter(idle).map(|slot| match slot.flight < self.batch.slots {
-                true => time::Duration::ZERO,
-                false => slot.free.saturating_sub(now),
-            });
-        let first = free.min().unwrap_or(self.mean());
+        let free = |slot: &Slot| match slot.flight < self.batch.slots {
+            true => slot.passed.saturating_sub(now),
+            false => slot.free.max(slot.passed).saturating_sub(now),
+        };
+        let fast = self.slots.values().filter(|slot| slot.pace < SLOW).map(free).min();
+        let any = || self.slots.values().map(free).min();
+        let first = fast.or_else(any).unwrap_or(NEVER);
         let slots = self.serving(now) as u32 * self.batch.slots.max(1);
         let full = self.expected(self.batch.pieces) / slots.max(1);
         first + full * (ahead / self.batch.pieces.max(1)) as u32
--- a/src/args.rs
+++ b/src/args.rs
@@ -18,7 +18,8 @@
   sequoiacrank check declarations.jsonc
   sequoiacrank apply declarations.jsonc --to http://127.0.0.1:8080 --dry-run
   sequoiacrank status --from http://127.0.0.1:8080 --format json
-  sequoiacrank explain 2001";
+  sequoiacrank explain 2001
+  sequoiacrank explain 9c41d07be2a35f68 host-1.log host-2.log";
 
 /// Subcommands.
 #[derive(Debug, clap::Subcommand)]
@@ -55,11 +56,14 @@
         #[arg(long, value_enum, default_value_t = Format::Text)]
         format: Format,
     },
-    /// Explains a result code.
+    /// Explains a result code, or tells the story of a request from the logs of all hosts.
     Explain {
-        /// Number, such as 2001; `all` lists the whole table.
-        #[arg(value_name = "CODE")]
-        code: String,
+        /// Number, such as 2001, `all` for the whole table, or the id of a request.
+        #[arg(value_name = "CODE|ID")]
+        what: String,
+        /// Logs of hosts; without any, standard input.
+        #[arg(value_name = "LOG")]
+        logs: Vec<path::PathBuf>,
     },
     /// Runs stand-ins and three hosts in this process on loopback and shows what the system does.
     Quickstart {
--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -1,15 +1,25 @@
-//! `explain`: result codes, from the table that answers and docs use.
+//! `explain`: result codes, from the table that answers and docs use, and stories of requests.
+
+use std::path;
 
 use sequoiacrank_kernel::code;
 
+use crate::command::story;
 use crate::exit;
 
-/// Prints what `number` means, or the whole table for `all`.
-pub fn run(number: &str) -> Result<(), exit::Error> {
-    if number == "all" {
+/// Longest number of a code; what is longer is the id of a request.
+const CODE_DIGITS: usize = 4;
+
+/// Prints what a code means, the whole table for `all`, or the story of a request.
+pub fn run(what: &str, logs: &[path::PathBuf]) -> Result<(), exit::Error> {
+    if what == "all" {
         print!("{}", table());
         return Ok(());
     }
+    if what.len() > CODE_DIGITS {
+        return story::run(what, logs);
+    }
+    let number = what;
     let found = number.parse().ok().and_then(code::Code::from_number);
     match found {
         Some(code) => {
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -9,6 +9,7 @@
 pub mod serve;
 pub mod standin;
 pub mod status;
+mod story;
 
 use std::fmt;
 use std::fs;
--- a/src/run.rs
+++ b/src/run.rs
@@ -10,7 +10,7 @@
         args::Command::Check { files, format } => command::check::run(files, *format),
         args::Command::Apply(apply) => command::apply::run(apply),
         args::Command::Status { from, format } => command::status::run(from, *format),
-        args::Command::Explain { code } => command::explain::run(code),
+        args::Command::Explain { what, logs } => command::explain::run(what, logs),
         args::Command::Serve { settings } => command::serve::run(settings),
         args::Command::Edge { settings } => command::edge::run(settings.as_deref()),
         args::Command::Standin(standin) => command::standin::run(standin),
