--- a/sequoiacrank-kernel/src/edge/stage/lane.rs
+++ b/sequoiacrank-kernel/src/edge/stage/lane.rs
@@ -14,9 +14,9 @@
 pub const OVERDUE_EXTRA: time::Duration = time::Duration::from_millis(150);
 /// Calls for each slot whose worth of late work may wait. It uses what slots others leave; more of it
 /// would wait in vain until the callers leave.
-const LATE_CALLS: f64 = 0.2;
+const LATE_CALLS: f64 = 0.12;
 /// Weight of the newest stage in the ratio of real to expected times, and bounds of that ratio.
-const BIAS_WEIGHT: f64 = 0.02;
+const BIAS_WEIGHT: f64 = 0.03;
 const BIASES: (f64, f64) = (0.8, 2.0);
 /// Time for which an endpoint that had no memory for a result gets no more results than it holds.
 const TIGHT: time::Duration = time::Duration::from_millis(700);
