--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -29,3 +29,34 @@
     let shown = words(block.split_once('{').unwrap().1.trim_end().trim_end_matches('}'));
     assert!(words(&example).contains(&shown), "{shown}");
 }
+
+/// The page for operators names log fields and events; each stands in the code that writes them.
+#[test]
+fn the_log_fields_of_the_operators_page_are_written() {
+    let page = fs::read_to_string("docs/OPERATIONS.md").unwrap();
+    let part = page.split("### Explaining a failed request").nth(1).unwrap();
+    let mut code = String::new();
+    for entry in fs::read_dir("sequoiacrank-edge/src").unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_file() {
+            code += &fs::read_to_string(path).unwrap();
+        }
+    }
+    let lines = part.lines().filter(|line| line.trim_start().starts_with('+'));
+    let mut checked = 0;
+    for line in lines {
+        let (head, fields) = line.split_once(": ").unwrap();
+        let kind = head.split_whitespace().last().unwrap();
+        assert!(code.contains(&format!("target: \"{kind}\"")), "{kind}");
+        let event = fields.split("  ").next().unwrap();
+        assert!(code.contains(&format!("\"{event}\"")), "{event}");
+        for field in fields.split("  ").skip(1).filter_map(|field| field.split_once('=')) {
+            assert!(code.contains(field.0), "{}", field.0);
+            checked += 1;
+        }
+    }
+    assert!(checked > 10, "{checked}");
+    for word in part.split('`').skip(1).step_by(2).filter(|word| !word.contains([' ', ':', '\n'])) {
+        assert!(code.contains(word) || word.chars().all(char::is_alphanumeric), "{word}");
+    }
+}
