A request that may have run is never called unrun

Cause: a repeatable request whose first answer was lost and whose second endpoint was full ended as 503. Bids and other calls that run once were not concerned.

--- a/sequoiacrank-edge/src/exchange.rs
+++ b/sequoiacrank-edge/src/exchange.rs
@@ -24,6 +24,8 @@
 use crate::stop;
 use crate::stream;
 
+/// Status that says that a request did not run.
+const NOT_RUN: u16 = 503;
 /// Time that a body may take to arrive.
 const BODY: time::Duration = time::Duration::from_secs(5);
 /// Least time left that makes a send worth it.
@@ -94,6 +96,8 @@
     pub(crate) results: cell::RefCell<Option<stages::Results>>,
     tried: cell::RefCell<Vec<id::EndpointId>>,
     sends: cell::Cell<u32>,
+    /// Whether an endpoint may have run it.
+    ran: cell::Cell<bool>,
     _running: stop::Running,
 }
 
@@ -257,6 +261,7 @@
         results: cell::RefCell::new(None),
         tried: cell::RefCell::default(),
         sends: cell::Cell::new(0),
+        ran: cell::Cell::new(false),
         _running: running,
     })
 }
@@ -276,6 +281,11 @@
     }
 
     fn refuse(&self, refusal: Refusal) -> front::Answer {
+        // A later endpoint that did not run it does not make it unrun.
+        let refusal = match self.ran.get() && refusal.code.status() == NOT_RUN {
+            true => Refusal::new(code::Code::StageFailed),
+            false => refusal,
+        };
         let number = refusal.code.number();
         let took = host::millis(self.host.clock.now().saturating_sub(self.began));
         let after = refusal.after.map_or(0, host::millis);
@@ -403,6 +413,7 @@
                     if self.is_failure(&upstream) && self.may_repeat() && self.repeat() =>
                 {
                     upstream.flight.end(fleet::End::Bad);
+                    self.ran.set(true);
                     continue;
                 }
                 Ok(upstream) => return Ok(upstream),
@@ -429,6 +440,7 @@
                     }
                 }
                 Miss::Lost(code) => {
+                    self.ran.set(true);
                     if !self.may_repeat() || !self.repeat() {
                         return Err(Refusal::new(code));
                     }
