--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -270,6 +270,7 @@
     task::spawn_local(peer::listen(host.clone(), hosts));
     task::spawn_local(store::follow(host.clone(), topics::Topic::Operators));
     task::spawn_local(store::follow(host.clone(), topics::Topic::Endpoints));
+    task::spawn_local(store::meet(host.clone()));
     task::spawn_local(pulses(host.clone()));
     task::spawn_local(batcher::tick(host.clone()));
     task::spawn_local(housekeeping(host.clone()));
--- a/sequoiacrank-edge/src/store.rs
+++ b/sequoiacrank-edge/src/store.rs
@@ -1,5 +1,6 @@
 //! Follows the topics of the platform's store.
 
+use std::net;
 use std::rc;
 use std::time;
 
@@ -30,6 +31,8 @@
 const ENDPOINTS: time::Duration = time::Duration::from_millis(500);
 /// Age of the endpoints' records at which a host reads them itself: two readers have missed two turns.
 const STALE: time::Duration = time::Duration::from_millis(1100);
+/// Time between two looks in the store for other hosts.
+const MEET: time::Duration = time::Duration::from_secs(2);
 /// Time between two looks at that age.
 const LOOK: time::Duration = time::Duration::from_millis(150);
 
@@ -142,3 +145,34 @@
         }
     }
 }
+
+/// Names this host to others in the store, and finds them there while it hears nobody. Seeds may be stale.
+pub async fn meet(host: rc::Rc<host::Host>) {
+    let own = host.settings.peer.to_string();
+    let mut named = false;
+    loop {
+        if !named {
+            let request = store::append(store::Topic::Hosts, &host.settings.host, own.as_bytes());
+            let answer = host.pool.call(host.settings.store, request, LIMIT).await;
+            named = answer.is_ok_and(|answer| answer.status == http::StatusCode::OK);
+        }
+        match newest(&host, store::Topic::Hosts).await {
+            Ok(page) => {
+                for address in page.records.into_iter().filter_map(address) {
+                    host.peers.add(&host, address);
+                }
+            }
+            // Whoever follows the other topics says that the store is lost.
+            Err(err) => log::debug!(target: "hosts", err = err.to_string().as_str(); "not read"),
+        }
+        tokio::time::sleep(MEET).await;
+        while named && !host.peers.alive(host.clock.now()).is_empty() {
+            tokio::time::sleep(MEET).await;
+        }
+    }
+}
+
+/// The address in a record of a host.
+fn address(record: store::Record) -> Option<net::SocketAddr> {
+    std::str::from_utf8(&record.value?).ok()?.parse().ok()
+}
