--- a/sequoiacrank-kernel/src/edge/stage.rs
+++ b/sequoiacrank-kernel/src/edge/stage.rs
@@ -38,10 +38,14 @@
 const FREE_PART: u64 = 10;
 /// Time that a run of each rank must have to spare beyond that of the next more urgent one: more urgent
 /// work that comes later goes before it.
-const RANK_SPARE: time::Duration = time::Duration::from_millis(120);
+const RANK_SPARE: time::Duration = time::Duration::from_millis(200);
 /// Longest time after which a refused caller is asked to come back: endpoints that are lost are back, or
 /// known to be gone, by then.
 const LATEST_RETURN: time::Duration = time::Duration::from_secs(2);
+/// Lateness up to which a refused caller comes back as soon as its work would be in time.
+const SHORT: time::Duration = time::Duration::from_millis(100);
+/// Part of its time left after which a caller does not come back any more.
+const COMEBACK: f64 = 0.32;
 /// Bytes that a stage's results bring to the next stage from which on both are done in one zone.
 const LARGE: u64 = 500_000;
 
@@ -217,8 +221,7 @@
             false => false,
         };
         if refused {
-            let after = end.saturating_sub(ask.aim).max(lane::TICK * 4);
-            let after = after.min(ask.deadline.saturating_sub(now)).min(LATEST_RETURN);
+            let after = self.comeback(now, &ask, end);
             return Verdict::Refused { after, expected };
         }
         self.next += 1;
@@ -297,6 +300,19 @@
         }
     }
 
+    /// Time after which a refused caller is asked to come back. One that was refused by little may still be
+    /// in time; others are spread over the time in which they come back at all, so that the burst does not
+    /// come back as one.
+    fn comeback(&self, now: id::Time, ask: &Ask, end: id::Time) -> time::Duration {
+        let short = end.saturating_sub(ask.aim).max(lane::TICK * 4);
+        let most = ask.deadline.saturating_sub(now).mul_f64(COMEBACK).min(LATEST_RETURN);
+        if short <= SHORT || most <= SHORT {
+            return short.min(most);
+        }
+        let draw = xxhash_rust::xxh3::xxh3_64(ask.request.as_bytes()) as f64 / u64::MAX as f64;
+        SHORT + (most - SHORT).mul_f64(draw)
+    }
+
     /// Whether the work of runs that can't be in time any more is little enough for one more.
     fn has_room_for_late(&self, ask: &Ask) -> bool {
         let lanes = ask.stages.iter().filter(|work| work.pieces > 0);
