--- a/sequoiacrank-edge/src/exchange.rs
+++ b/sequoiacrank-edge/src/exchange.rs
@@ -18,8 +18,10 @@
 
 use crate::body::Body;
 use crate::client;
+use crate::flight;
 use crate::front;
 use crate::host;
+use crate::refusal;
 use crate::stages;
 use crate::stop;
 use crate::stream;
@@ -30,8 +32,6 @@
 const BODY: time::Duration = time::Duration::from_secs(5);
 /// Least time left that makes a send worth it.
 const LEAST: time::Duration = time::Duration::from_millis(10);
-/// Time to come back after a refusal that will not last: a new endpoint or configuration is known by then.
-const SOON: time::Duration = time::Duration::from_millis(300);
 /// Time that a request usually needs behind its stages, before any was seen.
 const TAIL: time::Duration = time::Duration::from_millis(120);
 /// Weight of the newest request in that time, one in so many.
@@ -42,41 +42,6 @@
 /// has begun. A stream's first event may wait for its prompt to be read, a plain answer may not.
 const PATIENCE: (f64, f64) = (1.0, 0.6);
 
-/// A refusal or failure of the host's own.
-#[derive(Clone, Copy, Debug)]
-pub struct Refusal {
-    code: code::Code,
-    after: Option<time::Duration>,
-}
-
-impl Refusal {
-    /// A refusal after which the caller need not come back at a certain time.
-    pub fn new(code: code::Code) -> Self {
-        Refusal { code, after: None }
-    }
-
-    fn soon(code: code::Code) -> Self {
-        Refusal { code, after: Some(SOON) }
-    }
-
-    fn answer(self) -> front::Answer {
-        let text =
-            format!("{{\"code\":{},\"title\":\"{}\"}}\n", self.code.number(), self.code.title());
-        let mut answer = http::Response::new(Body::whole(text.into()));
-        let status = http::StatusCode::from_u16(self.code.status());
-        *answer.status_mut() = status.unwrap_or(http::StatusCode::INTERNAL_SERVER_ERROR);
-        let json = http::HeaderValue::from_static("application/json");
-        answer.headers_mut().insert(http::header::CONTENT_TYPE, json);
-        if let Some(after) = self.after {
-            let seconds = format!("{:.2}", after.as_secs_f64().max(0.05));
-            if let Ok(seconds) = http::HeaderValue::from_str(&seconds) {
-                answer.headers_mut().insert(http::header::RETRY_AFTER, seconds);
-            }
-        }
-        answer
-    }
-}
-
 /// A request that was admitted.
 pub struct Exchange {
     pub(crate) host: rc::Rc<host::Host>,
@@ -101,67 +66,12 @@
     _running: stop::Running,
 }
 
-/// A call to an endpoint. Dropping it before its end says nothing about the endpoint.
-pub struct Flight {
-    host: rc::Rc<host::Host>,
-    /// The endpoint.
-    pub endpoint: id::EndpointId,
-    call: fleet::Call,
-    began: id::Time,
-    ended: bool,
-}
-
-impl Flight {
-    fn begin(host: &rc::Rc<host::Host>, endpoint: &str) -> Self {
-        let began = host.clock.now();
-        let call = host.facts.borrow_mut().fleet.begin(began, endpoint);
-        let (host, endpoint) = (host.clone(), endpoint.to_owned());
-        Flight { host, endpoint, call, began, ended: false }
-    }
-
-    fn age(&self) -> time::Duration {
-        self.host.clock.now().saturating_sub(self.began)
-    }
-
-    fn answered(&self) {
-        let now = self.host.clock.now();
-        self.host.facts.borrow_mut().fleet.answered(now, &self.endpoint, self.call);
-    }
-
-    /// Notes how the call ended.
-    pub fn end(mut self, end: fleet::End) {
-        self.finish(end);
-    }
-
-    fn finish(&mut self, end: fleet::End) {
-        if std::mem::replace(&mut self.ended, true) {
-            return;
-        }
-        let label = match end {
-            fleet::End::Good => "good",
-            fleet::End::Full => "full",
-            fleet::End::Bad => "bad",
-            fleet::End::Lost => "lost",
-            fleet::End::Dropped => "dropped",
-        };
-        self.host.metrics.calls.with_label_values(&[label]).inc();
-        let now = self.host.clock.now();
-        self.host.facts.borrow_mut().fleet.end(now, &self.endpoint, self.call, end);
-    }
-}
-
-impl Drop for Flight {
-    fn drop(&mut self) {
-        self.finish(fleet::End::Dropped);
-    }
-}
-
 /// An answer whose head has come.
 pub struct Upstream {
     pub(crate) connection: client::Connection,
     pub(crate) head: http::response::Parts,
     pub(crate) body: body::Incoming,
-    pub(crate) flight: Flight,
+    pub(crate) flight: flight::Flight,
     pub(crate) marks: call::Answer,
 }
 
@@ -197,10 +107,10 @@
     host: &rc::Rc<host::Host>,
     parts: http::request::Parts,
     body: body::Incoming,
-) -> Result<Exchange, Refusal> {
+) -> Result<Exchange, refusal::Refusal> {
     let began = host.clock.now();
     let running = stop::Stop::running(host);
-    let refuse = |refusal: Refusal, id: &str| {
+    let refuse = |refusal: refusal::Refusal, id: &str| {
         let number = refusal.code.number();
         host.metrics.requests.with_label_values(&["", &number.to_string()]).inc();
         log::warn!(target: "request", id, code = number, path = parts.uri.path(); "refused");
@@ -208,33 +118,35 @@
     };
     let head = match ingress::Head::decode(&parts) {
         Ok(head) => head,
-        Err(_) => return Err(refuse(Refusal::new(code::Code::BadRequest), "")),
+        Err(_) => return Err(refuse(refusal::Refusal::new(code::Code::BadRequest), "")),
     };
     let id = head.attempt.clone();
     if host.stop.is_closing() {
         // What begins this late may not end before the process does.
-        return Err(refuse(Refusal::soon(code::Code::NotReady), &id));
+        return Err(refuse(refusal::Refusal::soon(code::Code::NotReady), &id));
     }
     let catalog = host.facts.borrow().catalog.clone();
     let Some(catalog) = catalog else {
-        return Err(refuse(Refusal::soon(code::Code::NotReady), &id));
+        return Err(refuse(refusal::Refusal::soon(code::Code::NotReady), &id));
     };
     let Some(route) = catalog.route(&head.hostname, &head.path).cloned() else {
-        return Err(refuse(Refusal::new(code::Code::NoMatch), &id));
+        return Err(refuse(refusal::Refusal::new(code::Code::NoMatch), &id));
     };
     let workspace = head.key.as_deref().and_then(|key| catalog.workspace(key)).cloned();
     if workspace.is_none() && !route.exempt {
-        return Err(refuse(Refusal::new(code::Code::NoKey), &id));
+        return Err(refuse(refusal::Refusal::new(code::Code::NoKey), &id));
     }
     let Some(service) = route.service(rand::random()).cloned() else {
-        return Err(refuse(Refusal::soon(code::Code::NoEndpoint), &id));
+        return Err(refuse(refusal::Refusal::soon(code::Code::NoEndpoint), &id));
     };
     let whole = tokio::time::timeout(BODY, front::read(body, catalog.limits.body)).await;
     let body = match whole {
         Ok(Ok(Some(body))) => body,
-        Ok(Ok(None)) => return Err(refuse(Refusal::new(code::Code::TooLarge), &id)),
+        Ok(Ok(None)) => return Err(refuse(refusal::Refusal::new(code::Code::TooLarge), &id)),
         // The caller broke off or is too slow; nothing was sent.
-        Ok(Err(_)) | Err(_) => return Err(refuse(Refusal::new(code::Code::BodyLate), &id)),
+        Ok(Err(_)) | Err(_) => {
+            return Err(refuse(refusal::Refusal::new(code::Code::BodyLate), &id));
+        }
     };
     let session = {
         let mut facts = host.facts.borrow_mut();
@@ -280,10 +192,10 @@
         self.deadline.saturating_sub(self.host.clock.now())
     }
 
-    fn refuse(&self, refusal: Refusal) -> front::Answer {
+    fn refuse(&self, refusal: refusal::Refusal) -> front::Answer {
         // A later endpoint that did not run it does not make it unrun.
         let refusal = match self.ran.get() && refusal.code.status() == NOT_RUN {
-            true => Refusal::new(code::Code::StageFailed),
+            true => refusal::Refusal::new(code::Code::StageFailed),
             false => refusal,
         };
         let number = refusal.code.number();
@@ -310,7 +222,7 @@
     }
 
     /// Gets the results that the request needs from other services.
-    pub async fn stages(&self) -> Result<(), Refusal> {
+    pub async fn stages(&self) -> Result<(), refusal::Refusal> {
         let pieces = |stage: usize| self.head.pieces.get(stage).copied().unwrap_or_default();
         let work: Vec<stage::Work> = self
             .route
@@ -355,9 +267,9 @@
                 log::warn!(target: "request", id, took, reason = reason.as_str(); "stages refused");
                 match refusal {
                     stages::Refusal::Late(after) => {
-                        Err(Refusal { code: code::Code::TooSlow, after: Some(after) })
+                        Err(refusal::Refusal { code: code::Code::TooSlow, after: Some(after) })
                     }
-                    stages::Refusal::Failed => Err(Refusal::soon(code::Code::QueueFull)),
+                    stages::Refusal::Failed => Err(refusal::Refusal::soon(code::Code::QueueFull)),
                 }
             }
         }
@@ -394,7 +306,7 @@
     }
 
     /// Sends the request until an endpoint begins to answer.
-    async fn calls(&self) -> Result<Upstream, Refusal> {
+    async fn calls(&self) -> Result<Upstream, refusal::Refusal> {
         let mut unreached = 0;
         loop {
             if self.left() < LEAST {
@@ -402,10 +314,10 @@
                     0 => code::Code::TooSlow,
                     _ => code::Code::Deadline,
                 };
-                return Err(Refusal::new(code));
+                return Err(refusal::Refusal::new(code));
             }
             let Some((endpoint, address, _)) = self.choose() else {
-                return Err(Refusal::soon(code::Code::NoEndpoint));
+                return Err(refusal::Refusal::soon(code::Code::NoEndpoint));
             };
             self.tried.borrow_mut().push(endpoint.clone());
             let miss = match self.send(&endpoint, address, self.head.resume).await {
@@ -423,26 +335,26 @@
                 Miss::Unsent => {
                     unreached += 1;
                     if unreached >= UNREACHED {
-                        return Err(Refusal::soon(code::Code::NoEndpoint));
+                        return Err(refusal::Refusal::soon(code::Code::NoEndpoint));
                     }
                 }
                 Miss::Refused(http::StatusCode::MISDIRECTED_REQUEST) => unreached += 1,
                 Miss::Refused(http::StatusCode::CONFLICT) if self.results.borrow().is_some() => {
                     if self.sends.get() > 1 || !self.repeat() {
-                        return Err(Refusal::soon(code::Code::QueueFull));
+                        return Err(refusal::Refusal::soon(code::Code::QueueFull));
                     }
                     self.results.borrow_mut().take();
                     self.stages().await?;
                 }
                 Miss::Refused(_) => {
                     if self.sends.get() >= self.route.attempts || !self.repeat() {
-                        return Err(Refusal::soon(code::Code::QueueFull));
+                        return Err(refusal::Refusal::soon(code::Code::QueueFull));
                     }
                 }
                 Miss::Lost(code) => {
                     self.ran.set(true);
                     if !self.may_repeat() || !self.repeat() {
-                        return Err(Refusal::new(code));
+                        return Err(refusal::Refusal::new(code));
                     }
                 }
             }
@@ -473,7 +385,7 @@
         resume: Option<u64>,
     ) -> Result<Upstream, Miss> {
         let host = &self.host;
-        let flight = Flight::begin(host, endpoint);
+        let flight = flight::Flight::begin(host, endpoint);
         let connection = match self.route.repeatable() {
             true => host.pool.connection(address).await,
             false => host.pool.fresh(address).await,
@@ -526,7 +438,7 @@
         }
     }
 
-    fn missed(&self, flight: Flight, err: &client::Error) -> Miss {
+    fn missed(&self, flight: flight::Flight, err: &client::Error) -> Miss {
         let id = self.head.attempt.as_str();
         let reason = err.to_string();
         let took = host::millis(self.host.clock.now().saturating_sub(self.began));
@@ -599,7 +511,7 @@
                     Miss::Lost(code) => code,
                     Miss::Unsent | Miss::Refused(_) => code::Code::OutcomeLost,
                 };
-                return self.refuse(Refusal::new(code));
+                return self.refuse(refusal::Refusal::new(code));
             }
         };
         let failed = head.status.is_server_error();
--- a/sequoiacrank-edge/src/facts.rs
+++ b/sequoiacrank-edge/src/facts.rs
@@ -157,7 +157,7 @@
                     let same = self.fleet.get(id).is_some_and(|it| it.is_same(&entry));
                     let leaving = entry.leaving;
                     let service = entry.service.clone();
-                    let started = self.fleet.register(now, entry);
+                    let started = self.fleet.register(entry);
                     if !same {
                         self.news.insert(id.clone(), offset);
                         usable = true;
--- a/sequoiacrank-kernel/src/edge/fleet.rs
+++ b/sequoiacrank-kernel/src/edge/fleet.rs
@@ -6,7 +6,6 @@
 //! request at a time until it proved itself.
 
 use std::collections;
-use std::net;
 use std::time;
 
 use crate::edge::endpoint;
@@ -59,8 +58,6 @@
     /// Usual time to the first byte of its answers.
     usual: Option<time::Duration>,
     pace: pace::Pace,
-    /// Time until which it is cold.
-    cold: id::Time,
 }
 
 impl Member {
@@ -108,11 +105,9 @@
 
 impl Fleet {
     /// Takes over a registration. Returns whether the endpoint is new or started again.
-    pub fn register(&mut self, now: id::Time, entry: endpoint::Endpoint) -> bool {
-        let cold = now + entry.cold;
+    pub fn register(&mut self, entry: endpoint::Endpoint) -> bool {
         match self.members.get_mut(&entry.id) {
             Some(member) if member.entry.born == entry.born => {
-                member.cold = cold;
                 member.entry = entry;
                 false
             }
@@ -125,7 +120,6 @@
                     passed: id::Time::ZERO,
                     usual: None,
                     pace: pace::Pace::default(),
-                    cold,
                 };
                 self.members.insert(entry.id, member);
                 true
@@ -254,16 +248,6 @@
     pub fn flight(&self, id: &str) -> usize {
         self.members.get(id).map_or(0, |member| member.calls.len())
     }
-
-    /// Whether an endpoint is cold.
-    pub fn is_cold(&self, now: id::Time, id: &str) -> bool {
-        self.members.get(id).is_some_and(|member| now < member.cold)
-    }
-
-    /// The endpoint at `address`.
-    pub fn at(&self, address: net::SocketAddr) -> Option<&endpoint::Endpoint> {
-        self.entries().find(|entry| entry.address == address)
-    }
 }
 
 /// Place of an endpoint in the order of a session; the same on all hosts.
--- a/sequoiacrank-kernel/src/edge/stage.rs
+++ b/sequoiacrank-kernel/src/edge/stage.rs
@@ -7,6 +7,8 @@
 //! arrives, because pieces that come late cost the same slots as those that are in time.
 
 pub mod lane;
+mod message;
+mod plan;
 mod run;
 pub mod shard;
 
@@ -17,6 +19,12 @@
 use crate::id;
 use crate::map;
 
+pub use message::Command;
+pub use message::Failure;
+pub use message::Input;
+pub use message::Item;
+pub use message::Outcome;
+pub use message::Verdict;
 pub use run::Ask;
 pub use run::Run;
 pub use run::Work;
@@ -39,118 +47,9 @@
 /// Time that a run of each rank must have to spare beyond that of the next more urgent one: more urgent
 /// work that comes later goes before it.
 const RANK_SPARE: time::Duration = time::Duration::from_millis(200);
-/// Longest time after which a refused caller is asked to come back: endpoints that are lost are back, or
-/// known to be gone, by then.
-const LATEST_RETURN: time::Duration = time::Duration::from_secs(2);
-/// Lateness up to which a refused caller comes back as soon as its work would be in time.
-const SHORT: time::Duration = time::Duration::from_millis(100);
-/// Part of its time left after which a caller does not come back any more.
-const COMEBACK: f64 = 0.32;
 /// Bytes that a stage's results bring to the next stage from which on both are done in one zone.
 const LARGE: u64 = 500_000;
 
-/// What one item of a call works on.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Input {
-    /// The request's own key, for a stage that needs no other.
-    Key(String),
-    /// Results of the stages before.
-    Results(Vec<Handle>),
-}
-
-/// One piece in a call.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Item {
-    /// The request's own id.
-    pub request: String,
-    /// Number of the stage.
-    pub stage: usize,
-    /// Number of the piece.
-    pub piece: u32,
-    /// Time after which the result is of no use.
-    pub remaining: time::Duration,
-    /// What it works on.
-    pub input: Input,
-}
-
-/// How one item of a call ended.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Outcome {
-    /// Its result lies at the endpoint.
-    Made(Handle),
-    /// Its time was over before its turn.
-    Late,
-    /// A result that it needs is gone.
-    Gone,
-    /// The endpoint has no memory for its result.
-    Room,
-    /// The endpoint failed.
-    Failed,
-}
-
-/// How a call ended without an answer that names its items.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Failure {
-    /// The endpoint said that it is full; nothing ran.
-    Full,
-    /// The endpoint was not reached or broke off.
-    Lost,
-}
-
-/// What the host is to do.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Command {
-    /// Send a call.
-    Call {
-        /// Names it when it ends.
-        call: CallId,
-        /// Endpoint that is to do it.
-        endpoint: id::EndpointId,
-        /// Its pieces.
-        items: Vec<Item>,
-        /// Time after which the call is to be broken off.
-        limit: time::Duration,
-    },
-    /// Tell who asked that all results are made.
-    Ready {
-        /// The run.
-        run: RunId,
-        /// Results of the stages that no other stage needs.
-        results: Vec<Handle>,
-    },
-    /// Tell who asked that it can't be done.
-    Failed {
-        /// The run.
-        run: RunId,
-    },
-    /// Free results at an endpoint.
-    Free {
-        /// The endpoint.
-        endpoint: id::EndpointId,
-        /// Its results.
-        results: Vec<Handle>,
-    },
-}
-
-/// Whether stage work is taken on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
-    /// It will be done.
-    Taken {
-        /// Names it.
-        run: RunId,
-        /// Time in which it is expected to be done.
-        expected: time::Duration,
-    },
-    /// It would come too late. Nothing was done.
-    Refused {
-        /// Time after which there is room again.
-        after: time::Duration,
-        /// Time in which it would have been done.
-        expected: time::Duration,
-    },
-}
-
 struct Sent {
     lane: id::ServiceId,
     endpoint: id::EndpointId,
@@ -237,88 +136,6 @@
         Verdict::Taken { run: id, expected }
     }
 
-    /// Time in which the stages would be done.
-    fn estimate(&self, now: id::Time, ask: &Ask) -> time::Duration {
-        let mut ends: Vec<time::Duration> = Vec::with_capacity(ask.stages.len());
-        for (stage, work) in ask.stages.iter().enumerate() {
-            let start = work.after.iter().filter_map(|&s| ends.get(s)).max().copied();
-            let start = start.unwrap_or_default();
-            let rest = run::downstream(&ask.stages, stage, |work| self.usual(work));
-            let due = ask.aim.saturating_sub(ask.tail + rest);
-            let took = match self.lanes.get(&work.service) {
-                _ if work.pieces == 0 => time::Duration::ZERO,
-                Some(lane) => lane.time(
-                    now,
-                    start,
-                    lane::Place { late: false, due, rank: ask.rank },
-                    work.pieces,
-                ),
-                None => lane::NEVER,
-            };
-            ends.push(start.saturating_add(took));
-        }
-        ends.into_iter().max().unwrap_or_default()
-    }
-
-    /// Time that a stage usually takes.
-    fn usual(&self, work: &Work) -> time::Duration {
-        self.lanes.get(&work.service).map_or(time::Duration::ZERO, lane::Lane::usual)
-    }
-
-    /// Time that a stage takes if nothing else is to do.
-    fn fastest(&self, work: &Work) -> time::Duration {
-        let lane = self.lanes.get(&work.service);
-        lane.map_or(time::Duration::ZERO, |lane| lane.least(work.pieces as usize))
-    }
-
-    /// The availability zone for stages of a run whose results are large together: the one where their
-    /// services have least to do.
-    fn home(&self, now: id::Time, services: &[&str]) -> Option<id::ZoneId> {
-        let lanes: Vec<_> = services.iter().filter_map(|it| self.lanes.get(*it)).collect();
-        let load = |zone: &str| -> Option<f64> {
-            lanes.iter().map(|lane| lane.load(now, zone)).sum::<Option<f64>>()
-        };
-        let zones = lanes.first()?.zones();
-        let loads = zones.into_iter().filter_map(|zone| Some((load(&zone)?, zone)));
-        let first = loads.min_by(|(a, _), (b, _)| a.total_cmp(b));
-        first.map(|(_, zone)| zone)
-    }
-
-    /// The availability zone in which a stage is best done.
-    fn zone(&self, now: id::Time, run: &Run, stage: usize) -> Option<id::ZoneId> {
-        let work = &run.ask.stages[stage];
-        let next: Vec<usize> = run::followers(&run.ask.stages, stage).collect();
-        let read: u64 = next.iter().map(|&next| u64::from(run.count(next))).sum();
-        let given = work.bytes * u64::from(work.pieces) * read;
-        let mut services: Vec<&str> = vec![&work.service];
-        services.extend(next.iter().map(|&next| run.ask.stages[next].service.as_str()));
-        match &run.home {
-            _ if next.is_empty() && work.bytes >= LARGE => run.ask.zone.clone(),
-            Some(home) => Some(home.clone()),
-            None if given >= LARGE => self.home(now, &services),
-            None => None,
-        }
-    }
-
-    /// Time after which a refused caller is asked to come back. One that was refused by little may still be
-    /// in time; others are spread over the time in which they come back at all, so that the burst does not
-    /// come back as one.
-    fn comeback(&self, now: id::Time, ask: &Ask, end: id::Time) -> time::Duration {
-        let short = end.saturating_sub(ask.aim).max(lane::TICK * 4);
-        let most = ask.deadline.saturating_sub(now).mul_f64(COMEBACK).min(LATEST_RETURN);
-        if short <= SHORT || most <= SHORT {
-            return short.min(most);
-        }
-        let draw = xxhash_rust::xxh3::xxh3_64(ask.request.as_bytes()) as f64 / u64::MAX as f64;
-        SHORT + (most - SHORT).mul_f64(draw)
-    }
-
-    /// Whether the work of runs that can't be in time any more is little enough for one more.
-    fn has_room_for_late(&self, ask: &Ask) -> bool {
-        let lanes = ask.stages.iter().filter(|work| work.pieces > 0);
-        lanes.filter_map(|work| self.lanes.get(&work.service)).all(lane::Lane::has_room_for_late)
-    }
-
     /// Queues the pieces of stages whose inputs are all there; ends the run if all are done.
     fn advance(&mut self, now: id::Time, id: RunId) {
         let Some(run) = self.runs.get_mut(&id) else { return };
--- a/sequoiacrank-kernel/src/edge/stage/lane.rs
+++ b/sequoiacrank-kernel/src/edge/stage/lane.rs
@@ -1,5 +1,8 @@
 //! The queue of one stage service and the slots of its endpoints.
 
+mod estimate;
+mod feedback;
+
 use std::time;
 
 use crate::edge::catalog;
@@ -8,25 +11,12 @@
 use crate::id;
 use crate::map;
 
+pub use estimate::NEVER;
+
 /// Time between two looks at calls that take too long.
 pub const TICK: time::Duration = time::Duration::from_millis(25);
 /// Time over twice the expected at which a call counts as overdue.
 pub const OVERDUE_EXTRA: time::Duration = time::Duration::from_millis(150);
-/// Calls for each slot whose worth of late work may wait. It uses what slots others leave; more of it
-/// would wait in vain until the callers leave.
-const LATE_CALLS: f64 = 0.12;
-/// Weight of the newest stage in the ratio of real to expected times, and bounds of that ratio.
-const BIAS_WEIGHT: f64 = 0.03;
-const BIASES: (f64, f64) = (0.8, 2.0);
-/// Time for which an endpoint that had no memory for a result gets no more results than it holds.
-const TIGHT: time::Duration = time::Duration::from_millis(700);
-/// Stands for the time until there is an endpoint; above any deadline.
-pub const NEVER: time::Duration = time::Duration::from_secs(24 * 3600);
-/// Longest time that a piece waits for an endpoint in the zone where its inputs lie or its result will be
-/// read: about the time of a call, after which an endpoint of that zone has been free.
-const ZONE_WAIT: time::Duration = time::Duration::from_millis(200);
-/// Part of the time that a stage has to spare which may be spent on that.
-const ZONE_PART: u32 = 2;
 /// Time by which the work of one rank may be put behind that of the next more urgent one.
 const RANK_STEP: time::Duration = time::Duration::from_millis(300);
 /// Ranks that are told apart.
@@ -37,24 +27,10 @@
 const KEEP_UP: f64 = 1.2;
 /// Ratio of the time of calls to the expected from which on an endpoint is slow.
 const SLOW: f64 = 1.7;
-/// Weight of the newest call in that ratio.
-const PACE_WEIGHT: f64 = 0.4;
 /// Time after which a slow endpoint gets one call to show whether it still is.
 const PROBE: time::Duration = time::Duration::from_secs(2);
-/// Shortest and longest time that a full endpoint is passed over. Only other batchers fill it, so a host
-/// that meets them often leaves them the endpoint.
-const FULL_PAUSE: (time::Duration, time::Duration) =
-    (time::Duration::from_millis(60), time::Duration::from_millis(500));
-/// Time that an endpoint is passed over which failed a piece.
-const FAIL_PAUSE: time::Duration = time::Duration::from_millis(60);
-/// Shortest and longest time that a lost endpoint is passed over.
-const LOST_PAUSE: (time::Duration, time::Duration) =
-    (time::Duration::from_millis(400), time::Duration::from_secs(3));
 /// Weight of the newest call in the mean number of pieces in a call.
 const FILL_WEIGHT: f64 = 0.1;
-/// Weight of the newest call in the time of a piece, and bounds of that time in multiples of the declared.
-const SCALE_WEIGHT: f64 = 0.05;
-const SCALES: (f64, f64) = (0.2, 3.0);
 /// Calls that keep up with the rate which must wait before an idle endpoint takes work of other zones.
 const BACKLOG: f64 = 2.5;
 
@@ -309,79 +285,6 @@
         }
     }
 
-    /// Time of a call with so many pieces.
-    pub fn expected(&self, pieces: usize) -> time::Duration {
-        self.batch.call + self.batch.piece.mul_f64(self.scale * pieces as f64)
-    }
-
-    fn mean(&self) -> time::Duration {
-        self.batch.call + self.batch.piece.mul_f64(self.scale * self.fill)
-    }
-
-    fn serving(&self, now: id::Time) -> usize {
-        self.slots.values().filter(|slot| now >= slot.passed && slot.pace < SLOW).count()
-    }
-
-    /// Time between two slots that get free.
-    fn gap(&self, now: id::Time) -> time::Duration {
-        let slots = self.serving(now) as u32 * self.batch.slots.max(1);
-        self.mean() / slots.max(1)
-    }
-
-    fn wait_for(&self, now: id::Time, ahead: usize) -> time::Duration {
-        let free = |slot: &Slot| match slot.flight < self.batch.slots {
-            true => slot.passed.saturating_sub(now),
-            false => slot.free.max(slot.passed).saturating_sub(now),
-        };
-        let fast = self.slots.values().filter(|slot| slot.pace < SLOW).map(free).min();
-        let any = || self.slots.values().map(free).min();
-        let first = fast.or_else(any).unwrap_or(NEVER);
-        let slots = self.serving(now) as u32 * self.batch.slots.max(1);
-        let full = self.expected(self.batch.pieces) / slots.max(1);
-        first + full * (ahead / self.batch.pieces.max(1)) as u32
-    }
-
-    /// Pieces in the queue before a place.
-    fn ahead(&self, place: Place) -> usize {
-        let key = place.key();
-        let before = self.groups.iter().take_while(|group| group.key() <= key);
-        before.map(|group| group.pieces.len()).sum()
-    }
-
-    /// Time from the start of a stage that begins in `start` to its end, for so many pieces at a place.
-    pub fn time(
-        &self,
-        now: id::Time,
-        start: time::Duration,
-        place: Place,
-        pieces: u32,
-    ) -> time::Duration {
-        let coming: usize = self.coming.iter().take(place.rank as usize + 1).sum();
-        let ahead = self.ahead(place) + if start.is_zero() { 0 } else { coming };
-        let wait = match start.is_zero() {
-            true => self.wait_for(now, ahead),
-            false => self.wait_for(now, ahead).saturating_sub(start).max(self.gap(now) / 2),
-        };
-        let own = pieces as usize + ahead % self.batch.pieces.max(1);
-        let pieces = own.max(self.fill as usize).min(self.batch.pieces);
-        (wait + self.expected(pieces)).mul_f64(self.bias)
-    }
-
-    /// Compares the real time of a stage with the expected.
-    pub fn compare(&mut self, took: time::Duration, expected: time::Duration) {
-        let now = self.bias * ratio(took, expected);
-        self.bias += BIAS_WEIGHT * (now - self.bias);
-        self.bias = self.bias.clamp(BIASES.0, BIASES.1);
-    }
-
-    /// Whether the late work that waits is little enough for more.
-    pub fn has_room_for_late(&self) -> bool {
-        let late = self.groups.iter().filter(|group| group.late);
-        let late: usize = late.map(|group| group.pieces.len()).sum();
-        let slots = self.slots.len() * self.batch.slots as usize;
-        (late as f64) < LATE_CALLS * (slots * self.batch.pieces) as f64
-    }
-
     /// Puts work that can't be in time any more behind what can. Returns its runs.
     pub fn demote(&mut self, now: id::Time) -> Vec<stage::RunId> {
         let over = |group: &Group| !group.late && now > group.last;
@@ -395,11 +298,6 @@
         runs
     }
 
-    /// Time that a stage usually takes.
-    pub fn usual(&self) -> time::Duration {
-        self.mean() + self.mean() / (2 * self.slots.len().max(1) as u32)
-    }
-
     /// Whether a slow endpoint would be done sooner than the queue gets to the others.
     fn helps(&self, now: id::Time, slot: &Slot) -> bool {
         if slot.pace < SLOW {
@@ -456,47 +354,6 @@
         }
     }
 
-    /// Work for each endpoint that serves in `zone`, in pieces; `None` if there is no endpoint.
-    pub fn load(&self, now: id::Time, zone: &str) -> Option<f64> {
-        let there = |slot: &&Slot| slot.zone == zone && now >= slot.passed && slot.pace < SLOW;
-        let serving = self.slots.values().filter(there);
-        let (count, busy) = serving.fold((0u32, 0u32), |(count, busy), slot| {
-            (count + 1, busy + u32::from(slot.flight > 0))
-        });
-        let queued = self.groups.iter().filter(|group| group.zone.as_deref() == Some(zone));
-        let queued: usize = queued.map(|group| group.pieces.len()).sum();
-        // Half of the work that runs is left on average.
-        let running = f64::from(busy) * self.fill / 2.0;
-        (count > 0).then(|| (queued as f64 + running) / f64::from(count))
-    }
-
-    /// Time that work waits for an endpoint in `zone`; `None` if none serves there.
-    pub fn zone_wait(&self, now: id::Time, zone: &str) -> Option<time::Duration> {
-        let there = |slot: &&Slot| slot.zone == zone && now >= slot.passed && slot.pace < SLOW;
-        let free =
-            self.slots.values().filter(there).map(|slot| match slot.flight < self.batch.slots {
-                true => time::Duration::ZERO,
-                false => slot.free.saturating_sub(now),
-            });
-        let calls = self.load(now, zone)? / self.batch.pieces as f64;
-        Some(free.min()? + self.expected(self.batch.pieces) * calls as u32)
-    }
-
-    /// Least time of a stage with so many pieces.
-    pub fn least(&self, pieces: usize) -> time::Duration {
-        self.expected(pieces.min(self.batch.pieces))
-    }
-
-    /// Time that work with so much time to spare waits for an endpoint in its zone.
-    pub fn patience(spare: time::Duration) -> time::Duration {
-        (spare / ZONE_PART).min(ZONE_WAIT)
-    }
-
-    /// Availability zones of the endpoints.
-    pub fn zones(&self) -> std::collections::BTreeSet<id::ZoneId> {
-        self.slots.values().map(|slot| slot.zone.clone()).collect()
-    }
-
     fn take(&mut self, now: id::Time, id: &str) -> Vec<Piece> {
         let Some(slot) = self.slots.get(id) else { return Vec::new() };
         let needed = self.needed(now);
@@ -569,108 +426,6 @@
             }
         }
     }
-
-    /// Notes the answer to a call with so many pieces.
-    pub fn answered(&mut self, id: &str, took: time::Duration, pieces: usize) {
-        self.ended(id);
-        let expected = self.expected(pieces);
-        let Some(slot) = self.slots.get_mut(id) else { return };
-        slot.strikes = 0;
-        slot.turned = 0;
-        slot.pace += PACE_WEIGHT * (ratio(took, expected) - slot.pace);
-        if slot.pace < SLOW {
-            let declared = self.batch.piece * pieces as u32;
-            let scale = ratio(took.saturating_sub(self.batch.call), declared);
-            self.scale += SCALE_WEIGHT * (scale.clamp(SCALES.0, SCALES.1) - self.scale);
-        }
-    }
-
-    /// Notes that a call takes longer than expected.
-    pub fn slow(
-        &mut self,
-        _now: id::Time,
-        id: &str,
-        took: time::Duration,
-        expected: time::Duration,
-    ) {
-        if let Some(slot) = self.slots.get_mut(id) {
-            slot.pace = slot.pace.max(ratio(took, expected));
-        }
-    }
-
-    /// Notes the end of a call.
-    pub fn ended(&mut self, id: &str) {
-        if let Some(slot) = self.slots.get_mut(id) {
-            slot.flight = slot.flight.saturating_sub(1);
-        }
-    }
-
-    /// Notes that an endpoint is full.
-    pub fn full(&mut self, now: id::Time, id: &str) {
-        if let Some(slot) = self.slots.get_mut(id) {
-            let pause = FULL_PAUSE.0 * (1 << slot.turned.min(4));
-            slot.turned += 1;
-            slot.passed = slot.passed.max(now + pause.min(FULL_PAUSE.1));
-        }
-    }
-
-    /// Notes that an endpoint had no memory for a result: others than this host have left some there.
-    pub fn tight(&mut self, now: id::Time, id: &str) {
-        if let Some(slot) = self.slots.get_mut(id) {
-            slot.tight = Some((slot.held, now + TIGHT));
-        }
-    }
-
-    /// Notes that an endpoint failed a piece.
-    pub fn failed(&mut self, now: id::Time, id: &str) {
-        if let Some(slot) = self.slots.get_mut(id) {
-            slot.strikes = slot.strikes.max(1);
-            slot.passed = slot.passed.max(now + FAIL_PAUSE);
-        }
-    }
-
-    /// Notes that an endpoint was not reached or broke off.
-    pub fn lost(&mut self, now: id::Time, id: &str) {
-        if let Some(slot) = self.slots.get_mut(id) {
-            slot.strikes = slot.strikes.saturating_add(1);
-            let pause = LOST_PAUSE.0 * (1 << slot.strikes.min(4).saturating_sub(1));
-            slot.passed = now + pause.min(LOST_PAUSE.1);
-        }
-    }
-
-    /// Takes the memory of a piece that has no result off an endpoint.
-    pub fn forget(&mut self, id: &str, bytes: u64) {
-        if let Some(slot) = self.slots.get_mut(id) {
-            slot.held = slot.held.saturating_sub(bytes);
-        }
-    }
-
-    /// Notes a result that nobody needs any more.
-    pub fn release(&mut self, id: &str, handle: stage::Handle, bytes: u64) {
-        if let Some(slot) = self.slots.get_mut(id) {
-            slot.freeing.push(handle);
-            slot.freeable += bytes;
-        }
-    }
-
-    /// Results that are to be freed now, by endpoint.
-    pub fn frees(&mut self, now: id::Time) -> Vec<(id::EndpointId, Vec<stage::Handle>)> {
-        let enough = self.batch.memory / stage::FREE_PART;
-        let mut frees = Vec::new();
-        for (id, slot) in &mut self.slots {
-            if slot.freeing.is_empty() {
-                continue;
-            }
-            let since = *slot.waiting.get_or_insert(now);
-            if slot.freeable >= enough || now >= since + stage::FREE_WITHIN {
-                slot.held = slot.held.saturating_sub(slot.freeable);
-                slot.freeable = 0;
-                slot.waiting = None;
-                frees.push((id.clone(), std::mem::take(&mut slot.freeing)));
-            }
-        }
-        frees
-    }
 }
 
 fn ratio(took: time::Duration, expected: time::Duration) -> f64 {
--- /dev/null
+++ b/sequoiacrank-kernel/src/edge/stage/lane/estimate.rs
@@ -0,0 +1,143 @@
+//! How long work of a lane waits and takes.
+
+use std::time;
+
+use crate::edge::stage::lane;
+use crate::id;
+
+/// Calls for each slot whose worth of late work may wait. It uses what slots others leave; more of it
+/// would wait in vain until the callers leave.
+const LATE_CALLS: f64 = 0.12;
+/// Weight of the newest stage in the ratio of real to expected times, and bounds of that ratio.
+const BIAS_WEIGHT: f64 = 0.03;
+const BIASES: (f64, f64) = (0.8, 2.0);
+/// Stands for the time until there is an endpoint; above any deadline.
+pub const NEVER: time::Duration = time::Duration::from_secs(24 * 3600);
+/// Longest time that a piece waits for an endpoint in the zone where its inputs lie or its result will be
+/// read: about the time of a call, after which an endpoint of that zone has been free.
+const ZONE_WAIT: time::Duration = time::Duration::from_millis(200);
+/// Part of the time that a stage has to spare which may be spent on that.
+const ZONE_PART: u32 = 2;
+
+impl lane::Lane {
+    /// Time of a call with so many pieces.
+    pub fn expected(&self, pieces: usize) -> time::Duration {
+        self.batch.call + self.batch.piece.mul_f64(self.scale * pieces as f64)
+    }
+
+    pub(super) fn mean(&self) -> time::Duration {
+        self.batch.call + self.batch.piece.mul_f64(self.scale * self.fill)
+    }
+
+    pub(super) fn serving(&self, now: id::Time) -> usize {
+        self.slots.values().filter(|slot| now >= slot.passed && slot.pace < lane::SLOW).count()
+    }
+
+    /// Time between two slots that get free.
+    pub(super) fn gap(&self, now: id::Time) -> time::Duration {
+        let slots = self.serving(now) as u32 * self.batch.slots.max(1);
+        self.mean() / slots.max(1)
+    }
+
+    pub(super) fn wait_for(&self, now: id::Time, ahead: usize) -> time::Duration {
+        let free = |slot: &lane::Slot| match slot.flight < self.batch.slots {
+            true => slot.passed.saturating_sub(now),
+            false => slot.free.max(slot.passed).saturating_sub(now),
+        };
+        let fast = self.slots.values().filter(|slot| slot.pace < lane::SLOW).map(free).min();
+        let any = || self.slots.values().map(free).min();
+        let first = fast.or_else(any).unwrap_or(NEVER);
+        let slots = self.serving(now) as u32 * self.batch.slots.max(1);
+        let full = self.expected(self.batch.pieces) / slots.max(1);
+        first + full * (ahead / self.batch.pieces.max(1)) as u32
+    }
+
+    /// Pieces in the queue before a place.
+    pub(super) fn ahead(&self, place: lane::Place) -> usize {
+        let key = place.key();
+        let before = self.groups.iter().take_while(|group| group.key() <= key);
+        before.map(|group| group.pieces.len()).sum()
+    }
+
+    /// Time from the start of a stage that begins in `start` to its end, for so many pieces at a place.
+    pub fn time(
+        &self,
+        now: id::Time,
+        start: time::Duration,
+        place: lane::Place,
+        pieces: u32,
+    ) -> time::Duration {
+        let coming: usize = self.coming.iter().take(place.rank as usize + 1).sum();
+        let ahead = self.ahead(place) + if start.is_zero() { 0 } else { coming };
+        let wait = match start.is_zero() {
+            true => self.wait_for(now, ahead),
+            false => self.wait_for(now, ahead).saturating_sub(start).max(self.gap(now) / 2),
+        };
+        let own = pieces as usize + ahead % self.batch.pieces.max(1);
+        let pieces = own.max(self.fill as usize).min(self.batch.pieces);
+        (wait + self.expected(pieces)).mul_f64(self.bias)
+    }
+
+    /// Compares the real time of a stage with the expected.
+    pub fn compare(&mut self, took: time::Duration, expected: time::Duration) {
+        let now = self.bias * lane::ratio(took, expected);
+        self.bias += BIAS_WEIGHT * (now - self.bias);
+        self.bias = self.bias.clamp(BIASES.0, BIASES.1);
+    }
+
+    /// Whether the late work that waits is little enough for more.
+    pub fn has_room_for_late(&self) -> bool {
+        let late = self.groups.iter().filter(|group| group.late);
+        let late: usize = late.map(|group| group.pieces.len()).sum();
+        let slots = self.slots.len() * self.batch.slots as usize;
+        (late as f64) < LATE_CALLS * (slots * self.batch.pieces) as f64
+    }
+
+    /// Time that a stage usually takes.
+    pub fn usual(&self) -> time::Duration {
+        self.mean() + self.mean() / (2 * self.slots.len().max(1) as u32)
+    }
+
+    /// Work for each endpoint that serves in `zone`, in pieces; `None` if there is no endpoint.
+    pub fn load(&self, now: id::Time, zone: &str) -> Option<f64> {
+        let there =
+            |slot: &&lane::Slot| slot.zone == zone && now >= slot.passed && slot.pace < lane::SLOW;
+        let serving = self.slots.values().filter(there);
+        let (count, busy) = serving.fold((0u32, 0u32), |(count, busy), slot| {
+            (count + 1, busy + u32::from(slot.flight > 0))
+        });
+        let queued = self.groups.iter().filter(|group| group.zone.as_deref() == Some(zone));
+        let queued: usize = queued.map(|group| group.pieces.len()).sum();
+        // Half of the work that runs is left on average.
+        let running = f64::from(busy) * self.fill / 2.0;
+        (count > 0).then(|| (queued as f64 + running) / f64::from(count))
+    }
+
+    /// Time that work waits for an endpoint in `zone`; `None` if none serves there.
+    pub fn zone_wait(&self, now: id::Time, zone: &str) -> Option<time::Duration> {
+        let there =
+            |slot: &&lane::Slot| slot.zone == zone && now >= slot.passed && slot.pace < lane::SLOW;
+        let free =
+            self.slots.values().filter(there).map(|slot| match slot.flight < self.batch.slots {
+                true => time::Duration::ZERO,
+                false => slot.free.saturating_sub(now),
+            });
+        let calls = self.load(now, zone)? / self.batch.pieces as f64;
+        Some(free.min()? + self.expected(self.batch.pieces) * calls as u32)
+    }
+
+    /// Least time of a stage with so many pieces.
+    pub fn least(&self, pieces: usize) -> time::Duration {
+        self.expected(pieces.min(self.batch.pieces))
+    }
+
+    /// Time that work with so much time to spare waits for an endpoint in its zone.
+    pub fn patience(spare: time::Duration) -> time::Duration {
+        (spare / ZONE_PART).min(ZONE_WAIT)
+    }
+
+    /// Availability zones of the endpoints.
+    pub fn zones(&self) -> std::collections::BTreeSet<id::ZoneId> {
+        self.slots.values().map(|slot| slot.zone.clone()).collect()
+    }
+}
--- /dev/null
+++ b/sequoiacrank-kernel/src/edge/stage/plan.rs
@@ -0,0 +1,105 @@
+//! Whether work is taken on, when a refused caller comes back, and in which zone a stage is done.
+
+use std::time;
+
+use crate::edge::stage;
+use crate::edge::stage::lane;
+use crate::edge::stage::run;
+use crate::id;
+
+/// Lateness up to which a refused caller comes back as soon as its work would be in time.
+const SHORT: time::Duration = time::Duration::from_millis(100);
+/// Part of its time left after which a caller does not come back any more.
+const COMEBACK: f64 = 0.32;
+/// Longest time after which a refused caller is asked to come back: endpoints that are lost are back, or
+/// known to be gone, by then.
+const LATEST_RETURN: time::Duration = time::Duration::from_secs(2);
+
+impl stage::Board {
+    /// Time after which a refused caller is asked to come back. One that was refused by little may still be
+    /// in time; others are spread over the time in which they come back at all, so that the burst does not
+    /// come back as one.
+    pub(super) fn comeback(
+        &self,
+        now: id::Time,
+        ask: &stage::Ask,
+        end: id::Time,
+    ) -> time::Duration {
+        let short = end.saturating_sub(ask.aim).max(lane::TICK * 4);
+        let most = ask.deadline.saturating_sub(now).mul_f64(COMEBACK).min(LATEST_RETURN);
+        if short <= SHORT || most <= SHORT {
+            return short.min(most);
+        }
+        let draw = xxhash_rust::xxh3::xxh3_64(ask.request.as_bytes()) as f64 / u64::MAX as f64;
+        SHORT + (most - SHORT).mul_f64(draw)
+    }
+
+    /// Whether the work of runs that can't be in time any more is little enough for one more.
+    pub(super) fn has_room_for_late(&self, ask: &stage::Ask) -> bool {
+        let lanes = ask.stages.iter().filter(|work| work.pieces > 0);
+        lanes.filter_map(|work| self.lanes.get(&work.service)).all(lane::Lane::has_room_for_late)
+    }
+
+    /// Time in which the stages would be done.
+    pub(super) fn estimate(&self, now: id::Time, ask: &stage::Ask) -> time::Duration {
+        let mut ends: Vec<time::Duration> = Vec::with_capacity(ask.stages.len());
+        for (stage, work) in ask.stages.iter().enumerate() {
+            let start = work.after.iter().filter_map(|&s| ends.get(s)).max().copied();
+            let start = start.unwrap_or_default();
+            let rest = run::downstream(&ask.stages, stage, |work| self.usual(work));
+            let due = ask.aim.saturating_sub(ask.tail + rest);
+            let took = match self.lanes.get(&work.service) {
+                _ if work.pieces == 0 => time::Duration::ZERO,
+                Some(lane) => lane.time(
+                    now,
+                    start,
+                    lane::Place { late: false, due, rank: ask.rank },
+                    work.pieces,
+                ),
+                None => lane::NEVER,
+            };
+            ends.push(start.saturating_add(took));
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+
+    /// Time that a stage usually takes.
+    pub(super) fn usual(&self, work: &stage::Work) -> time::Duration {
+        self.lanes.get(&work.service).map_or(time::Duration::ZERO, lane::Lane::usual)
+    }
+
+    /// Time that a stage takes if nothing else is to do.
+    pub(super) fn fastest(&self, work: &stage::Work) -> time::Duration {
+        let lane = self.lanes.get(&work.service);
+        lane.map_or(time::Duration::ZERO, |lane| lane.least(work.pieces as usize))
+    }
+
+    /// The availability zone for stages of a run whose results are large together: the one where their
+    /// services have least to do.
+    pub(super) fn home(&self, now: id::Time, services: &[&str]) -> Option<id::ZoneId> {
+        let lanes: Vec<_> = services.iter().filter_map(|it| self.lanes.get(*it)).collect();
+        let load = |zone: &str| -> Option<f64> {
+            lanes.iter().map(|lane| lane.load(now, zone)).sum::<Option<f64>>()
+        };
+        let zones = lanes.first()?.zones();
+        let loads = zones.into_iter().filter_map(|zone| Some((load(&zone)?, zone)));
+        let first = loads.min_by(|(a, _), (b, _)| a.total_cmp(b));
+        first.map(|(_, zone)| zone)
+    }
+
+    /// The availability zone in which a stage is best done.
+    pub(super) fn zone(&self, now: id::Time, run: &stage::Run, stage: usize) -> Option<id::ZoneId> {
+        let work = &run.ask.stages[stage];
+        let next: Vec<usize> = run::followers(&run.ask.stages, stage).collect();
+        let read: u64 = next.iter().map(|&next| u64::from(run.count(next))).sum();
+        let given = work.bytes * u64::from(work.pieces) * read;
+        let mut services: Vec<&str> = vec![&work.service];
+        services.extend(next.iter().map(|&next| run.ask.stages[next].service.as_str()));
+        match &run.home {
+            _ if next.is_empty() && work.bytes >= stage::LARGE => run.ask.zone.clone(),
+            Some(home) => Some(home.clone()),
+            None if given >= stage::LARGE => self.home(now, &services),
+            None => None,
+        }
+    }
+}
