One predicate for open endpoints and for slots that serve; what nothing reads is gone

Read once more as a whole. The test of open endpoints stood in the fleet and in the facts, that of serving slots four times, the time until a slot is free twice. Settings (region, memory, drain, heartbeat), fields of services and of messages between hosts that nothing read are removed, as is a second removal of an owner. Tests share one site of two desks.

--- a/sequoiacrank-config/src/edge.rs
+++ b/sequoiacrank-config/src/edge.rs
@@ -14,8 +14,6 @@
     pub host: String,
     /// Its availability zone.
     pub zone: String,
-    /// Its region.
-    pub region: String,
     /// Address for callers.
     pub listen: net::SocketAddr,
     /// Address that the balancer asks for readiness.
@@ -28,16 +26,10 @@
     pub seeds: Vec<net::SocketAddr>,
     /// Address of the platform's store.
     pub store: net::SocketAddr,
-    /// Memory that the process may use, in megabytes.
-    pub memory: u32,
     /// Share of a core that the process may use, in thousandths.
     pub cpu: u32,
     /// Time from SIGTERM to SIGKILL.
     pub grace: time::Duration,
-    /// Time for which an endpoint serves on after it said that it leaves.
-    pub drain: time::Duration,
-    /// Time between two registrations of an endpoint.
-    pub heartbeat: time::Duration,
     /// Requests that are sent once more; all hosts together.
     pub retries: Retries,
     /// Requests that a cold endpoint gets; all hosts together.
@@ -107,36 +99,28 @@
         let mut fields = read::Reader::new(node, sink)?;
         let host = fields.need("host");
         let zone = fields.need("zone");
-        let region = fields.need("region");
         let listen = fields.need("listen");
         let readiness = fields.need("readiness");
         let peer = fields.need("peer");
         let metrics = fields.need("metrics");
         let seeds = fields.or("seeds", Vec::new());
         let store = fields.need("store");
-        let memory = fields.need("memory_mb");
         let cpu = fields.or("cpu_share", 1.0);
         let grace = fields.need::<Span>("grace");
-        let drain = fields.need::<Span>("drain");
-        let heartbeat = fields.need::<Span>("heartbeat");
         let retries = fields.need("retries");
         let cold = fields.need("cold");
         fields.done();
         Some(Settings {
             host: host?,
             zone: zone?,
-            region: region?,
             listen: listen?,
             readiness: readiness?,
             peer: peer?,
             metrics: metrics?,
             seeds: seeds?,
             store: store?,
-            memory: memory?,
             cpu: (cpu? * 1000.0) as u32,
             grace: grace?.0,
-            drain: drain?.0,
-            heartbeat: heartbeat?.0,
             retries: retries?,
             cold: cold?,
         })
--- a/sequoiacrank-edge/src/batcher.rs
+++ b/sequoiacrank-edge/src/batcher.rs
@@ -109,9 +109,8 @@
                 self.tickets.borrow_mut().insert((from, ticket), run);
                 wire::Body::Taken(wire::Ticket { ticket })
             }
-            stage::Verdict::Refused { after, expected } => {
-                let (after, expected) = (host::millis(after), host::millis(expected));
-                wire::Body::Refused(wire::Refused { ticket, after, expected })
+            stage::Verdict::Refused { after, .. } => {
+                wire::Body::Refused(wire::Refused { ticket, after: host::millis(after) })
             }
         };
         host.peers.send(host, from, body);
@@ -164,10 +163,7 @@
                     task::spawn_local(free(host.clone(), endpoint, results));
                 }
                 stage::Command::Ready { run, results } => self.tell(host, run, Some(results)),
-                stage::Command::Failed { run } => {
-                    self.tell(host, run, None);
-                    self.owners.borrow_mut().remove(&run);
-                }
+                stage::Command::Failed { run } => self.tell(host, run, None),
             }
         }
         self.work.notify_one();
@@ -204,7 +200,7 @@
 fn equip(facts: &facts::Facts, shard: &str, board: &mut stage::Board) {
     let Some(catalog) = &facts.catalog else { return };
     board.configure(catalog);
-    board.endpoints(facts.usable().filter(|entry| shard::holds(shard, entry)));
+    board.endpoints(facts.fleet.usable().filter(|entry| shard::holds(shard, entry)));
 }
 
 /// Looks at calls that take too long for as long as there is work.
--- a/sequoiacrank-edge/src/facts.rs
+++ b/sequoiacrank-edge/src/facts.rs
@@ -9,7 +9,6 @@
 use sequoiacrank_adapter::store;
 use sequoiacrank_kernel::edge::budget;
 use sequoiacrank_kernel::edge::catalog;
-use sequoiacrank_kernel::edge::endpoint;
 use sequoiacrank_kernel::edge::fleet;
 use sequoiacrank_kernel::edge::records;
 use sequoiacrank_kernel::edge::session;
@@ -92,17 +91,10 @@
 
     fn reshard(&mut self) {
         if let Some(catalog) = self.catalog.clone() {
-            self.shards = shard::Shards::new(&catalog, self.usable());
+            self.shards = shard::Shards::new(&catalog, self.fleet.usable());
         }
     }
 
-    /// Endpoints to which new work may go.
-    pub fn usable(&self) -> impl Iterator<Item = &endpoint::Endpoint> {
-        let usable =
-            |entry: &&endpoint::Endpoint| !entry.leaving && !self.fleet.is_out(&entry.zone);
-        self.fleet.entries().filter(usable)
-    }
-
     fn operators_changed(&mut self, changed: &[String]) -> bool {
         let mut zones = false;
         for key in changed {
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -141,13 +141,10 @@
     pub fn pulse(&self, number: u64, hosts: Vec<String>) -> wire::Pulse {
         let facts = self.facts.borrow();
         let endpoints = facts.records(topics::Topic::Endpoints);
-        let now = self.clock.now();
-        let age = endpoints.fresh().map_or(u64::MAX, |at| millis(now.saturating_sub(at)));
         wire::Pulse {
             leaving: self.stop.is_leaving(),
             operators: facts.records(topics::Topic::Operators).end(),
             endpoints: endpoints.end(),
-            age,
             hosts,
             number,
             heard: 0,
--- a/sequoiacrank-edge/src/peer/wire.rs
+++ b/sequoiacrank-edge/src/peer/wire.rs
@@ -86,23 +86,20 @@
     /// The same for the endpoints' records.
     #[prost(uint64, tag = "3")]
     pub endpoints: u64,
-    /// Age of the endpoints' records in milliseconds.
-    #[prost(uint64, tag = "4")]
-    pub age: u64,
     /// Addresses of hosts that the sender hears.
-    #[prost(string, repeated, tag = "5")]
+    #[prost(string, repeated, tag = "4")]
     pub hosts: Vec<String>,
     /// Number of this pulse.
-    #[prost(uint64, tag = "6")]
+    #[prost(uint64, tag = "5")]
     pub number: u64,
     /// Number of the last pulse that the sender got from the receiver.
-    #[prost(uint64, tag = "7")]
+    #[prost(uint64, tag = "6")]
     pub heard: u64,
     /// Drawn at the start of the sender's process.
-    #[prost(uint64, tag = "8")]
+    #[prost(uint64, tag = "7")]
     pub process: u64,
     /// Share of a core that the sender may use, in thousandths.
-    #[prost(uint32, tag = "9")]
+    #[prost(uint32, tag = "8")]
     pub cpu: u32,
 }
 
@@ -224,9 +221,6 @@
     /// Milliseconds after which there is room again.
     #[prost(uint64, tag = "2")]
     pub after: u64,
-    /// Milliseconds in which it would have been done.
-    #[prost(uint64, tag = "3")]
-    pub expected: u64,
 }
 
 /// Stage work is done.
--- a/sequoiacrank-kernel/src/edge/catalog.rs
+++ b/sequoiacrank-kernel/src/edge/catalog.rs
@@ -91,10 +91,6 @@
 pub struct Service {
     /// Its name.
     pub name: id::ServiceId,
-    /// Path of its health checks.
-    pub health: String,
-    /// Connections that an endpoint accepts from all hosts together.
-    pub connections: u32,
     /// Requests a second that an endpoint bears while it is cold; 0 means any.
     pub cold_rate: f64,
     /// Set for services that do stage work.
@@ -114,8 +110,6 @@
     pub piece: time::Duration,
     /// Memory of an endpoint for results, in bytes.
     pub memory: u64,
-    /// Time after which a result is dropped that nobody released.
-    pub kept: time::Duration,
 }
 
 /// A workspace to which a key belongs.
--- a/sequoiacrank-kernel/src/edge/fleet.rs
+++ b/sequoiacrank-kernel/src/edge/fleet.rs
@@ -137,11 +137,6 @@
         self.out = zones;
     }
 
-    /// Whether nothing may be sent to `zone`.
-    pub fn is_out(&self, zone: &str) -> bool {
-        self.out.contains(zone)
-    }
-
     /// The registration of an endpoint.
     pub fn get(&self, id: &str) -> Option<&endpoint::Endpoint> {
         self.members.get(id).map(|member| &member.entry)
@@ -152,22 +147,14 @@
         self.members.values().map(|member| &member.entry)
     }
 
-    /// Registrations of `service` to which new work may go.
-    pub fn usable<'a>(
-        &'a self,
-        service: &'a str,
-    ) -> impl Iterator<Item = &'a endpoint::Endpoint> + 'a {
-        self.candidates(service).map(|member| &member.entry)
+    /// Registrations to which new work may go.
+    pub fn usable(&self) -> impl Iterator<Item = &endpoint::Endpoint> {
+        self.open().map(|member| &member.entry)
     }
 
-    fn candidates<'a, 's>(
-        &'a self,
-        service: &'s str,
-    ) -> impl Iterator<Item = &'a Member> + use<'a, 's> {
-        self.members.values().filter(move |member| {
-            let entry = &member.entry;
-            entry.service == service && !entry.leaving && !self.out.contains(&entry.zone)
-        })
+    fn open(&self) -> impl Iterator<Item = &Member> {
+        let open = |it: &&Member| !it.entry.leaving && !self.out.contains(&it.entry.zone);
+        self.members.values().filter(open)
     }
 
     /// The endpoint of `service` that fits `want` best.
@@ -179,7 +166,8 @@
         draw: u64,
     ) -> Option<&endpoint::Endpoint> {
         let all: Vec<&Member> = self
-            .candidates(service)
+            .open()
+            .filter(|member| member.entry.service == service)
             .filter(|member| !want.avoid.contains(&member.entry.id))
             .filter(|member| want.rate.is_none_or(|rate| member.pace.allows(now, rate)))
             .collect();
--- a/sequoiacrank-kernel/src/edge/stage.rs
+++ b/sequoiacrank-kernel/src/edge/stage.rs
@@ -376,7 +376,7 @@
         for sent in self.calls.values_mut().filter(late) {
             sent.overdue = true;
             if let Some(lane) = self.lanes.get_mut(&sent.lane) {
-                lane.slow(now, &sent.endpoint, now.saturating_sub(sent.at), sent.expected);
+                lane.slow(&sent.endpoint, now.saturating_sub(sent.at), sent.expected);
             }
             again.extend(sent.pieces.iter().copied());
         }
--- a/sequoiacrank-kernel/src/edge/stage/lane.rs
+++ b/sequoiacrank-kernel/src/edge/stage/lane.rs
@@ -154,6 +154,21 @@
     tight: Option<(u64, id::Time)>,
 }
 
+impl Slot {
+    /// Whether work may go to it, and it is not slow.
+    fn serves(&self, now: id::Time) -> bool {
+        now >= self.passed && self.pace < SLOW
+    }
+
+    /// Time until it takes a call, of so many at a time.
+    fn wait(&self, now: id::Time, slots: u32) -> time::Duration {
+        match self.flight < slots {
+            true => self.passed.saturating_sub(now),
+            false => self.free.max(self.passed).saturating_sub(now),
+        }
+    }
+}
+
 /// The queue of one stage service.
 pub struct Lane {
     /// How its endpoints work.
@@ -345,7 +360,7 @@
 
     fn fits(&self, now: id::Time, group: &Group, fit: &Fit<'_>) -> bool {
         let Some(wanted) = group.zone.as_deref() else { return true };
-        let there = |slot: &Slot| slot.zone == wanted && now >= slot.passed && slot.pace < SLOW;
+        let there = |slot: &Slot| slot.zone == wanted && slot.serves(now);
         match fit {
             Fit::Any => true,
             Fit::Own(zone) | Fit::Patient(zone) if wanted == *zone => true,
--- a/sequoiacrank-kernel/src/edge/stage/lane/estimate.rs
+++ b/sequoiacrank-kernel/src/edge/stage/lane/estimate.rs
@@ -8,8 +8,9 @@
 /// Calls for each slot whose worth of late work may wait. It uses what slots others leave; more of it
 /// would wait in vain until the callers leave.
 const LATE_CALLS: f64 = 0.12;
-/// Weight of the newest stage in the ratio of real to expected times, and bounds of that ratio.
+/// Weight of the newest stage in the ratio of real to expected times.
 const BIAS_WEIGHT: f64 = 0.03;
+/// Bounds of that ratio.
 const BIASES: (f64, f64) = (0.8, 2.0);
 /// Stands for the time until there is an endpoint; above any deadline.
 pub const NEVER: time::Duration = time::Duration::from_secs(24 * 3600);
@@ -30,7 +31,7 @@
     }
 
     pub(super) fn serving(&self, now: id::Time) -> usize {
-        self.slots.values().filter(|slot| now >= slot.passed && slot.pace < lane::SLOW).count()
+        self.slots.values().filter(|slot| slot.serves(now)).count()
     }
 
     /// Time between two slots that get free.
@@ -40,10 +41,7 @@
     }
 
     pub(super) fn wait_for(&self, now: id::Time, ahead: usize) -> time::Duration {
-        let free = |slot: &lane::Slot| match slot.flight < self.batch.slots {
-            true => slot.passed.saturating_sub(now),
-            false => slot.free.max(slot.passed).saturating_sub(now),
-        };
+        let free = |slot: &lane::Slot| slot.wait(now, self.batch.slots);
         let fast = self.slots.values().filter(|slot| slot.pace < lane::SLOW).map(free).min();
         let any = || self.slots.values().map(free).min();
         let first = fast.or_else(any).unwrap_or(NEVER);
@@ -100,8 +98,7 @@
 
     /// Work for each endpoint that serves in `zone`, in pieces; `None` if there is no endpoint.
     pub fn load(&self, now: id::Time, zone: &str) -> Option<f64> {
-        let there =
-            |slot: &&lane::Slot| slot.zone == zone && now >= slot.passed && slot.pace < lane::SLOW;
+        let there = |slot: &&lane::Slot| slot.zone == zone && slot.serves(now);
         let serving = self.slots.values().filter(there);
         let (count, busy) = serving.fold((0u32, 0u32), |(count, busy), slot| {
             (count + 1, busy + u32::from(slot.flight > 0))
@@ -115,13 +112,8 @@
 
     /// Time that work waits for an endpoint in `zone`; `None` if none serves there.
     pub fn zone_wait(&self, now: id::Time, zone: &str) -> Option<time::Duration> {
-        let there =
-            |slot: &&lane::Slot| slot.zone == zone && now >= slot.passed && slot.pace < lane::SLOW;
-        let free =
-            self.slots.values().filter(there).map(|slot| match slot.flight < self.batch.slots {
-                true => time::Duration::ZERO,
-                false => slot.free.saturating_sub(now),
-            });
+        let there = |slot: &&lane::Slot| slot.zone == zone && slot.serves(now);
+        let free = self.slots.values().filter(there).map(|it| it.wait(now, self.batch.slots));
         let calls = self.load(now, zone)? / self.batch.pieces as f64;
         Some(free.min()? + self.expected(self.batch.pieces) * calls as u32)
     }
--- a/sequoiacrank-kernel/src/edge/stage/lane/feedback.rs
+++ b/sequoiacrank-kernel/src/edge/stage/lane/feedback.rs
@@ -8,7 +8,7 @@
 
 /// Time for which an endpoint that had no memory for a result gets no more results than it holds.
 const TIGHT: time::Duration = time::Duration::from_millis(700);
-/// Weight of the newest call in that ratio.
+/// Weight of the newest call in the ratio of an endpoint's times to the expected.
 const PACE_WEIGHT: f64 = 0.4;
 /// Shortest and longest time that a full endpoint is passed over. Only other batchers fill it, so a host
 /// that meets them often leaves them the endpoint.
@@ -19,8 +19,9 @@
 /// Shortest and longest time that a lost endpoint is passed over.
 const LOST_PAUSE: (time::Duration, time::Duration) =
     (time::Duration::from_millis(400), time::Duration::from_secs(3));
-/// Weight of the newest call in the time of a piece, and bounds of that time in multiples of the declared.
+/// Weight of the newest call in the time of a piece.
 const SCALE_WEIGHT: f64 = 0.05;
+/// Bounds of that time in multiples of the declared.
 const SCALES: (f64, f64) = (0.2, 3.0);
 
 impl lane::Lane {
@@ -40,13 +41,7 @@
     }
 
     /// Notes that a call takes longer than expected.
-    pub fn slow(
-        &mut self,
-        _now: id::Time,
-        id: &str,
-        took: time::Duration,
-        expected: time::Duration,
-    ) {
+    pub fn slow(&mut self, id: &str, took: time::Duration, expected: time::Duration) {
         if let Some(slot) = self.slots.get_mut(id) {
             slot.pace = slot.pace.max(lane::ratio(took, expected));
         }
--- a/sequoiacrank-kernel/tests/edge/main.rs
+++ b/sequoiacrank-kernel/tests/edge/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the decisions on the event-loop data path.
 
+mod parts;
 mod site;
 mod stage_load;
--- /dev/null
+++ b/sequoiacrank-kernel/tests/edge/parts.rs
@@ -0,0 +1,127 @@
+//! Smaller decisions: batchers of zones, records of the store, paces, budgets, sessions.
+
+use std::time;
+
+use sequoiacrank_kernel::edge::budget;
+use sequoiacrank_kernel::edge::pace;
+use sequoiacrank_kernel::edge::records;
+use sequoiacrank_kernel::edge::session;
+use sequoiacrank_kernel::edge::stage::shard;
+
+use crate::site;
+
+fn shards(each: [usize; 3]) -> shard::Shards {
+    let service = |name| site::Service {
+        name,
+        zones: each,
+        pieces: 10,
+        piece: site::ms(1),
+        memory: 1_000_000,
+    };
+    let services = vec![service("records"), service("sheets")];
+    let world = site::World { services, ..site::World::default() };
+    shard::Shards::new(&site::catalog(&world), site::entries(&world).iter())
+}
+
+#[test]
+fn zones_with_few_endpoints_share_one_batcher() {
+    let shards = shards([2, 2, 1]);
+    assert_eq!(shards.choose(Some("a"), 0), "");
+    assert_eq!(shards.choose(None, 1), "");
+}
+
+#[test]
+fn zones_with_enough_endpoints_have_batchers_of_their_own() {
+    let shards = shards([3, 3, 2]);
+    for zone in site::ZONES {
+        assert_eq!(shards.choose(Some(zone), 7), zone);
+    }
+    assert!(site::ZONES.contains(&shards.choose(None, 5).as_str()));
+}
+
+#[test]
+fn a_zone_without_an_endpoint_of_a_service_has_no_batcher() {
+    let shards = shards([4, 4, 0]);
+    for draw in 0..8 {
+        assert!(["a", "b"].contains(&shards.choose(Some("c"), draw).as_str()));
+    }
+}
+
+fn record(key: &str, value: Option<u8>, offset: u64) -> records::Record<u8> {
+    records::Record { key: key.into(), value, offset }
+}
+
+#[test]
+fn records_move_forward_only() {
+    let mut all = records::Records::default();
+    let at = site::ms(100);
+    assert_eq!(all.merge(vec![record("a", Some(2), 5)], 6, at), ["a"]);
+    assert!(all.merge(vec![record("a", Some(1), 3)], 4, at).is_empty());
+    assert_eq!((all.get("a"), all.end()), (Some(&2), 6));
+    assert_eq!(all.merge(vec![record("a", None, 7)], 8, at), ["a"]);
+    assert_eq!(all.get("a"), None);
+    assert_eq!(all.since(7), vec![record("a", None, 7)]);
+}
+
+#[test]
+fn a_key_that_is_not_among_all_records_was_dropped() {
+    let mut all = records::Records::default();
+    all.merge(vec![record("a", Some(1), 0), record("b", Some(1), 1)], 2, site::ms(1));
+    // "c" was written behind the whole that is taken over, and stays.
+    all.merge(vec![record("c", Some(1), 9)], 10, site::ms(2));
+    assert_eq!(all.replace(vec![record("b", Some(1), 1)], 5, site::ms(3)), ["a"]);
+    assert_eq!(all.iter().map(|(key, _)| key.as_str()).collect::<Vec<_>>(), ["b", "c"]);
+    assert_eq!(all.end(), 10);
+}
+
+#[test]
+fn a_pace_bounds_any_second() {
+    let mut pace = pace::Pace::default();
+    let mut sent = Vec::new();
+    for tick in 0..400 {
+        let now = site::ms(tick * 10);
+        if pace.allows(now, 5) {
+            pace.note(now);
+            sent.push(now);
+        }
+    }
+    let second = time::Duration::from_secs(1);
+    for (place, &from) in sent.iter().enumerate() {
+        assert!(sent[place..].iter().take_while(|&&at| at < from + second).count() <= 5);
+    }
+    assert!(sent.len() >= 15, "{}", sent.len());
+}
+
+/// Every request fails and is sent again as long as the budget allows it.
+#[test]
+fn repeats_of_all_hosts_stay_within_the_bound() {
+    let bound = budget::Bound { ratio: 0.2, slack: 54.0, span: time::Duration::from_secs(10) };
+    let hosts = 7;
+    let mut budgets = vec![budget::Budget::default(); hosts];
+    let mut repeats = 0;
+    let mut requests = 0;
+    for tick in 0..1000 {
+        let now = site::ms(tick * 10);
+        for budget in &mut budgets {
+            budget.request(now, &bound);
+            requests += 1;
+            repeats += u32::from(budget.repeat(now, &bound, hosts));
+        }
+    }
+    let most = bound.ratio * f64::from(requests) + bound.slack;
+    assert!(f64::from(repeats) <= most, "{repeats} of {most}");
+    assert!(repeats > 0);
+}
+
+#[test]
+fn a_session_is_the_deepest_part_that_comes_again() {
+    let mut sessions = session::Sessions::default();
+    for number in 0..100 {
+        // The last part is the request's own.
+        assert_eq!(sessions.key("own", &[1, 2, 1000 + number]), Some(2));
+        sessions.key("shared", &[1, 2, 3 + number % 5]);
+    }
+    assert_eq!(sessions.key("shared", &[1, 2, 4]), Some(4));
+    assert_eq!(sessions.key("other", &[9]), Some(9));
+    assert_eq!(sessions.key("other", &[]), None);
+}
--- a/sequoiacrank-kernel/tests/edge/site.rs
+++ b/sequoiacrank-kernel/tests/edge/site.rs
@@ -117,6 +117,47 @@
     pub times: collections::BTreeMap<&'static str, Vec<(f64, f64)>>,
 }
 
+/// The endpoints of a world.
+pub fn entries(world: &World) -> Vec<endpoint::Endpoint> {
+    let mut entries = Vec::new();
+    for (s, service) in world.services.iter().enumerate() {
+        for (z, &count) in service.zones.iter().enumerate() {
+            for n in 0..count {
+                entries.push(endpoint::Endpoint {
+                    id: format!("{}-{z}-{n}", service.name),
+                    service: service.name.into(),
+                    address: format!("10.{s}.{z}.{n}:80").parse().expect("an address"),
+                    zone: ZONES[z].into(),
+                    version: "v1".into(),
+                    slots: 1,
+                    leaving: false,
+                    cold: time::Duration::ZERO,
+                    born: 0,
+                });
+            }
+        }
+    }
+    entries
+}
+
+/// The services of a world as a configuration.
+pub fn catalog(world: &World) -> catalog::Catalog {
+    let service = |it: &Service| catalog::Service {
+        name: it.name.into(),
+        cold_rate: 0.0,
+        batch: Some(catalog::Batch {
+            slots: 1,
+            pieces: it.pieces,
+            call: ms(150),
+            piece: it.piece,
+            memory: it.memory,
+        }),
+    };
+    let services = world.services.iter().map(service).collect();
+    let limits = catalog::Limits { head: 1 << 14, body: 1 << 22, idle: ms(15_000) };
+    catalog::Catalog::new(1, Vec::new(), services, Vec::new(), limits)
+}
+
 enum Event {
     Arrive(usize, bool, id::Time),
     Done(stage::CallId, Vec<stage::Outcome>, String),
@@ -162,24 +203,6 @@
 
 impl<'a> Site<'a> {
     pub fn run(world: &'a World, seed: u64) -> Report {
-        let mut entries = Vec::new();
-        for (s, service) in world.services.iter().enumerate() {
-            for (z, &count) in service.zones.iter().enumerate() {
-                for n in 0..count {
-                    entries.push(endpoint::Endpoint {
-                        id: format!("{}-{z}-{n}", service.name),
-                        service: service.name.into(),
-                        address: format!("10.{s}.{z}.{n}:80").parse().expect("an address"),
-                        zone: ZONES[z].into(),
-                        version: "v1".into(),
-                        slots: 1,
-                        leaving: false,
-                        cold: time::Duration::ZERO,
-                        born: 0,
-                    });
-                }
-            }
-        }
         let mut site = Site {
             world,
             random: rand_chacha::ChaCha8Rng::seed_from_u64(seed),
@@ -188,7 +211,7 @@
             queue: collections::BTreeMap::new(),
             board: stage::Board::default(),
             running: collections::HashMap::new(),
-            entries,
+            entries: entries(world),
             used: collections::HashMap::new(),
             sizes: collections::HashMap::new(),
             free_at: collections::HashMap::new(),
@@ -200,7 +223,7 @@
             let speed = site.random.random_range(0.95..1.1);
             site.speeds.insert(entry.id.clone(), speed);
         }
-        site.board.configure(&site.catalog());
+        site.board.configure(&catalog(world));
         site.board.endpoints(site.entries.iter());
         site.arrivals();
         let end = site.now + time::Duration::from_secs(world.seconds) + ms(15_000);
@@ -216,26 +239,6 @@
         site.tally()
     }
 
-    fn catalog(&self) -> catalog::Catalog {
-        let service = |it: &Service| catalog::Service {
-            name: it.name.into(),
-            health: String::new(),
-            connections: 100,
-            cold_rate: 0.0,
-            batch: Some(catalog::Batch {
-                slots: 1,
-                pieces: it.pieces,
-                call: ms(150),
-                piece: it.piece,
-                memory: it.memory,
-                kept: ms(4000),
-            }),
-        };
-        let services = self.world.services.iter().map(service).collect();
-        let limits = catalog::Limits { head: 1 << 14, body: 1 << 22, idle: ms(15_000) };
-        catalog::Catalog::new(1, Vec::new(), services, Vec::new(), limits)
-    }
-
     fn at(&mut self, time: id::Time, event: Event) {
         self.sequence += 1;
         self.queue.insert((time, self.sequence), event);
