Moves of services to new versions are carried out on the platform

Cause: endpoints of a new version got requests like all others, and no status was written, so that a bad version met an equal part of all requests and a move was never done or taken back. Ruled out: the ramp of the first data path, which tries a version with up to 70% of the requests before it is judged and goes over the bound on bad versions that fail late.

A new version gets requests within the bound (part of all and a few beyond, shared by the hosts) for six tenths of the move's time. Hosts tell each other their calls with the pulses; what one takes back all take back. The first host writes the status with a condition; what the store says of an end goes before what hosts found. The comparison of two versions is one type now, used by both data paths. Stage services are not tried and taken back in time.

--- a/sequoiacrank-config/src/edge.rs
+++ b/sequoiacrank-config/src/edge.rs
@@ -34,6 +34,17 @@
     pub retries: Retries,
     /// Requests that a cold endpoint gets; all hosts together.
     pub cold: Cold,
+    /// Requests that a version on trial gets; all hosts together.
+    pub moves: Moves,
+}
+
+/// Bound on the requests that a new version gets before it is judged.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Moves {
+    /// Share of the requests for its service.
+    pub share: f64,
+    /// Requests beyond that.
+    pub slack: f64,
 }
 
 /// Bound on requests that are sent once more.
@@ -94,6 +105,24 @@
     }
 }
 
+impl Default for Moves {
+    /// Without a bound in force the same cautious one holds as on a platform that sets it.
+    fn default() -> Self {
+        Moves { share: 0.1, slack: 20.0 }
+    }
+}
+
+impl read::Decode for Moves {
+    fn decode(node: &tree::Node, sink: &mut read::Sink) -> Option<Self> {
+        let mut fields = read::Reader::new(node, sink)?;
+        let usual = Moves::default();
+        let share = fields.or("share", usual.share);
+        let slack = fields.or("slack", usual.slack);
+        fields.done();
+        Some(Moves { share: share?, slack: slack? })
+    }
+}
+
 impl read::Decode for Settings {
     fn decode(node: &tree::Node, sink: &mut read::Sink) -> Option<Self> {
         let mut fields = read::Reader::new(node, sink)?;
@@ -109,6 +138,7 @@
         let grace = fields.need::<Span>("grace");
         let retries = fields.need("retries");
         let cold = fields.need("cold");
+        let moves = fields.or("moves", Moves::default());
         fields.done();
         Some(Settings {
             host: host?,
@@ -123,6 +153,7 @@
             grace: grace?.0,
             retries: retries?,
             cold: cold?,
+            moves: moves?,
         })
     }
 }
--- a/sequoiacrank-edge/src/batcher.rs
+++ b/sequoiacrank-edge/src/batcher.rs
@@ -200,7 +200,7 @@
 fn equip(facts: &facts::Facts, shard: &str, board: &mut stage::Board) {
     let Some(catalog) = &facts.catalog else { return };
     board.configure(catalog);
-    board.endpoints(facts.fleet.usable().filter(|entry| shard::holds(shard, entry)));
+    board.endpoints(facts.workers().filter(|entry| shard::holds(shard, entry)));
 }
 
 /// Looks at calls that take too long for as long as there is work.
--- a/sequoiacrank-edge/src/exchange.rs
+++ b/sequoiacrank-edge/src/exchange.rs
@@ -13,11 +13,13 @@
 use sequoiacrank_kernel::edge::budget;
 use sequoiacrank_kernel::edge::catalog;
 use sequoiacrank_kernel::edge::fleet;
+use sequoiacrank_kernel::edge::moves;
 use sequoiacrank_kernel::edge::stage;
 use sequoiacrank_kernel::id;
 
 use crate::body::Body;
 use crate::client;
+use crate::facts;
 use crate::flight;
 use crate::front;
 use crate::host;
@@ -285,12 +287,23 @@
             avoid: &tried,
             zone: Some(&self.host.settings.zone),
             rate: service.and_then(|service| self.host.rate(service.cold_rate)),
+            side: self.side(&facts),
         };
         let now = self.host.clock.now();
         let entry = facts.fleet.choose(now, &self.service, &want, rand::random())?;
         Some((entry.id.clone(), entry.address, entry.zone.clone()))
     }
 
+    /// The versions that a move of the service leaves to the request.
+    fn side(&self, facts: &facts::Facts) -> Option<moves::Side> {
+        if facts.moves.is_empty() {
+            return None;
+        }
+        let hosts = self.host.peers.members().count(self.host.clock.now());
+        let bound = self.host.trial_bound();
+        facts.moves.side(&self.service, hosts, &bound, rand::random())
+    }
+
     /// Takes one repeat out of the budget.
     pub fn repeat(&self) -> bool {
         let now = self.host.clock.now();
@@ -385,7 +398,7 @@
         resume: Option<u64>,
     ) -> Result<Upstream, Miss> {
         let host = &self.host;
-        let flight = flight::Flight::begin(host, endpoint);
+        let mut flight = flight::Flight::begin(host, endpoint);
         let connection = match self.route.repeatable() {
             true => host.pool.connection(address).await,
             false => host.pool.fresh(address).await,
@@ -395,6 +408,7 @@
             Err(err) => return Err(self.missed(flight, &err)),
         };
         self.sends.set(self.sends.get() + 1);
+        flight.sent(&self.route.name);
         let patience = self.patience();
         let session = self.session.map(|session| format!("{session:016x}"));
         log::info!(target: "request", id = self.head.attempt.as_str(), endpoint, session, left = host::millis(self.left()), patience = host::millis(patience), flight = host.facts.borrow().fleet.flight(endpoint); "sent");
@@ -426,7 +440,7 @@
         match marks {
             call::Answer { refused: true, moved, .. } => {
                 log::warn!(target: "request", id, endpoint, status, took; "endpoint refused");
-                flight.end(if moved { fleet::End::Lost } else { fleet::End::Full });
+                flight.end(if moved { fleet::End::Other } else { fleet::End::Full });
                 Err(Miss::Refused(head.status))
             }
             call::Answer { ours: false, .. } => {
--- a/sequoiacrank-edge/src/facts.rs
+++ b/sequoiacrank-edge/src/facts.rs
@@ -9,7 +9,9 @@
 use sequoiacrank_adapter::store;
 use sequoiacrank_kernel::edge::budget;
 use sequoiacrank_kernel::edge::catalog;
+use sequoiacrank_kernel::edge::endpoint;
 use sequoiacrank_kernel::edge::fleet;
+use sequoiacrank_kernel::edge::moves;
 use sequoiacrank_kernel::edge::records;
 use sequoiacrank_kernel::edge::session;
 use sequoiacrank_kernel::edge::stage::shard;
@@ -30,6 +32,8 @@
     pub fleet: fleet::Fleet,
     /// Budgets of repeats by service.
     pub budgets: map::FastMap<id::ServiceId, budget::Budget>,
+    /// Moves of services to new versions.
+    pub moves: moves::Moves,
     /// What tells the sessions of requests.
     pub sessions: session::Sessions,
     /// Batchers of stage work.
@@ -85,7 +89,7 @@
             false => records.merge(page.records, page.end, at),
         };
         let usable = match topic {
-            store::Topic::Operators => self.operators_changed(&changed),
+            store::Topic::Operators => self.operators_changed(now, &changed),
             _ => self.endpoints_changed(now, &changed),
         };
         if usable {
@@ -94,21 +98,28 @@
         usable
     }
 
-    fn reshard(&mut self) {
+    /// Takes over what moves leave to stage work.
+    pub fn reshard(&mut self) {
         if let Some(catalog) = self.catalog.clone() {
-            self.shards = shard::Shards::new(&catalog, self.fleet.usable());
+            let shards = shard::Shards::new(&catalog, self.workers());
+            self.shards = shards;
         }
     }
 
-    fn operators_changed(&mut self, changed: &[String]) -> bool {
+    fn operators_changed(&mut self, now: id::Time, changed: &[String]) -> bool {
         let mut zones = false;
+        let mut moves = false;
         for key in changed {
             match operator::Matter::of(key) {
                 operator::Matter::Configuration => self.configure(),
                 operator::Matter::ZoneOut(_) => zones = true,
-                operator::Matter::Move(_) | operator::Matter::Other => {}
+                operator::Matter::Move(_) => moves = true,
+                operator::Matter::Other => {}
             }
         }
+        if moves {
+            self.order_moves(now);
+        }
         if zones {
             let out: map::FastSet<id::ZoneId> = self
                 .operators
@@ -125,6 +136,22 @@
         !changed.is_empty()
     }
 
+    fn order_moves(&mut self, now: id::Time) {
+        let mut orders = map::FastMap::default();
+        for (key, value) in self.operators.iter() {
+            let operator::Matter::Move(service) = operator::Matter::of(key) else { continue };
+            let offset = self.operators.offset(key).unwrap_or_default();
+            match operator::order(value, offset) {
+                Ok(order) => drop(orders.insert(service, order)),
+                Err(err) => {
+                    let err = err.to_string();
+                    log::error!(target: "operators", key = key.as_str(), offset, err = err.as_str(); "order not read");
+                }
+            }
+        }
+        self.moves.order(now, orders);
+    }
+
     fn configure(&mut self) {
         let Some(value) = self.operators.get("config") else { return };
         let version = self.catalog.as_ref().map_or(0, |catalog| catalog.version);
@@ -191,6 +218,11 @@
         }
     }
 
+    /// Endpoints to which stage work may go.
+    pub fn workers(&self) -> impl Iterator<Item = &endpoint::Endpoint> {
+        self.fleet.usable().filter(|entry| !self.moves.bars(entry))
+    }
+
     /// The endpoints' records from an offset on that say something new.
     pub fn material(&self, from: id::Offset) -> Vec<store::Record> {
         let new = |record: &store::Record| {
--- a/sequoiacrank-edge/src/flight.rs
+++ b/sequoiacrank-edge/src/flight.rs
@@ -1,10 +1,13 @@
 //! Calls to endpoints, from their begin to their end.
 
+use std::cell;
 use std::rc;
 use std::time;
 
 use sequoiacrank_kernel::edge::fleet;
 use sequoiacrank_kernel::id;
+use sequoiacrank_kernel::policy;
+use sequoiacrank_kernel::rollout;
 
 use crate::host;
 
@@ -15,16 +18,47 @@
     pub endpoint: id::EndpointId,
     call: fleet::Call,
     began: id::Time,
+    /// Route of the request, with the service and version of the endpoint, once it was sent.
+    sent: Option<Sent>,
+    /// Time to the first byte of the answer.
+    first: cell::Cell<Option<time::Duration>>,
     ended: bool,
 }
 
+/// What was sent where.
+struct Sent {
+    route: id::RouteId,
+    service: id::ServiceId,
+    version: id::VersionId,
+}
+
 impl Flight {
     /// Notes that a call begins.
     pub fn begin(host: &rc::Rc<host::Host>, endpoint: &str) -> Self {
         let began = host.clock.now();
         let call = host.facts.borrow_mut().fleet.begin(began, endpoint);
         let (host, endpoint) = (host.clone(), endpoint.to_owned());
-        Flight { host, endpoint, call, began, ended: false }
+        Flight {
+            host,
+            endpoint,
+            call,
+            began,
+            sent: None,
+            first: cell::Cell::new(None),
+            ended: false,
+        }
+    }
+
+    /// Notes that the request is sent.
+    pub fn sent(&mut self, route: &str) {
+        let mut facts = self.host.facts.borrow_mut();
+        if facts.moves.is_empty() {
+            return;
+        }
+        let Some(entry) = facts.fleet.get(&self.endpoint) else { return };
+        let (service, version) = (entry.service.clone(), entry.version.clone());
+        facts.moves.sent(&service, &version);
+        self.sent = Some(Sent { route: route.to_owned(), service, version });
     }
 
     /// Time since its begin.
@@ -35,6 +69,7 @@
     /// Notes the first byte of its answer.
     pub fn answered(&self) {
         let now = self.host.clock.now();
+        self.first.set(Some(self.age()));
         self.host.facts.borrow_mut().fleet.answered(now, &self.endpoint, self.call);
     }
 
@@ -52,11 +87,28 @@
             fleet::End::Full => "full",
             fleet::End::Bad => "bad",
             fleet::End::Lost => "lost",
+            fleet::End::Other => "other",
             fleet::End::Dropped => "dropped",
         };
         self.host.metrics.calls.with_label_values(&[label]).inc();
         let now = self.host.clock.now();
-        self.host.facts.borrow_mut().fleet.end(now, &self.endpoint, self.call, end);
+        let mut facts = self.host.facts.borrow_mut();
+        facts.fleet.end(now, &self.endpoint, self.call, end);
+        let good = match end {
+            fleet::End::Good => true,
+            fleet::End::Bad | fleet::End::Lost => false,
+            // These say nothing about the version that the endpoint runs.
+            fleet::End::Full | fleet::End::Other | fleet::End::Dropped => return,
+        };
+        let Some(sent) = &self.sent else { return };
+        let call = policy::Call {
+            service: &sent.service,
+            version: &sent.version,
+            route: &sent.route,
+            good,
+            taken: self.first.get().unwrap_or_else(|| self.age()),
+        };
+        facts.moves.ended(now, &call, &rollout::Sequential);
     }
 }
 
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -20,6 +20,7 @@
 use crate::facts;
 use crate::front;
 use crate::metrics;
+use crate::moves;
 use crate::peer;
 use crate::peer::wire;
 use crate::stages;
@@ -45,6 +46,8 @@
     pub retries: edge::Retries,
     /// Requests that a cold endpoint gets; all hosts together.
     pub cold: edge::Cold,
+    /// Requests that a version on trial gets; all hosts together.
+    pub moves: edge::Moves,
     /// Time from SIGTERM to SIGKILL.
     pub grace: time::Duration,
 }
@@ -55,6 +58,7 @@
             seeds: settings.seeds.clone(),
             retries: settings.retries,
             cold: settings.cold,
+            moves: settings.moves,
             grace: settings.grace,
         }
     }
@@ -151,6 +155,7 @@
             heard: pulse.heard,
             process: self.process,
             cpu: self.settings.cpu,
+            moves: self.words().into_iter().map(wire::Move::from).collect(),
         }
     }
 
@@ -164,6 +169,7 @@
         }
         // Both topics are followed at the store as well; what another host has newer than that shows that
         // the store can't be reached from here, or answers late.
+        self.take_words(from, &pulse.moves);
         self.fetch(from, false, pulse.operators);
         self.fetch(from, true, pulse.endpoints);
     }
@@ -272,6 +278,7 @@
     task::spawn_local(store::follow(host.clone(), topics::Topic::Endpoints));
     task::spawn_local(store::meet(host.clone()));
     task::spawn_local(pulses(host.clone()));
+    task::spawn_local(moves::follow(host.clone()));
     task::spawn_local(batcher::tick(host.clone()));
     task::spawn_local(housekeeping(host.clone()));
     stop::wait(&host).await.map_err(|err| Error::Io("signals", err))?;
--- a/sequoiacrank-edge/src/lib.rs
+++ b/sequoiacrank-edge/src/lib.rs
@@ -16,6 +16,7 @@
 mod host;
 pub mod logs;
 mod metrics;
+mod moves;
 mod peer;
 mod refusal;
 mod stages;
--- /dev/null
+++ b/sequoiacrank-edge/src/moves.rs
@@ -0,0 +1,115 @@
+//! Moves of services to new versions: what hosts tell each other of them, and what the store is told.
+
+use std::net;
+use std::rc;
+use std::time;
+
+use sequoiacrank_adapter::operator;
+use sequoiacrank_adapter::store as topics;
+use sequoiacrank_kernel::edge::moves;
+use sequoiacrank_kernel::rollout;
+
+use crate::host;
+use crate::peer::wire;
+use crate::stages;
+use crate::store;
+
+/// Time between two looks at moves: evidence of others comes with each pulse.
+const LOOK: time::Duration = time::Duration::from_millis(200);
+
+impl host::Host {
+    /// The bound on requests for a version on trial.
+    pub fn trial_bound(&self) -> moves::Bound {
+        let bound = self.tuning.borrow().moves;
+        moves::Bound { share: bound.share, slack: bound.slack }
+    }
+
+    /// What this host says of moves.
+    pub fn words(&self) -> Vec<moves::Word> {
+        let facts = self.facts.borrow();
+        let old = |service: &str, target: &str| facts.fleet.flights_off(service, target);
+        facts.moves.words(self.clock.now(), old)
+    }
+
+    /// Takes over what another host says of moves.
+    pub fn take_words(&self, from: net::SocketAddr, words: &[wire::Move]) {
+        let now = self.clock.now();
+        let mut facts = self.facts.borrow_mut();
+        for word in words {
+            facts.moves.learn(now, from, &moves::Word::from(word));
+        }
+    }
+}
+
+/// Judges moves and writes how far they are, for as long as the host runs.
+pub async fn follow(host: rc::Rc<host::Host>) {
+    loop {
+        tokio::time::sleep(LOOK).await;
+        if host.facts.borrow().moves.is_empty() {
+            continue;
+        }
+        tick(&host);
+        let first = stages::place(&host) == 0 && !host.stop.is_leaving();
+        if first && host.peers.unsettled(host.clock.now()).is_none() {
+            write(&host).await;
+        }
+    }
+}
+
+fn tick(host: &rc::Rc<host::Host>) {
+    let news = host.facts.borrow_mut().moves.tick(host.clock.now(), &rollout::Sequential);
+    if news.is_empty() {
+        return;
+    }
+    for moves::News { service, target, phase, why } in news {
+        let (service, target, phase) = (service.as_str(), target.as_str(), format!("{phase:?}"));
+        log::info!(target: "moves", service, version = target, phase = phase.as_str(), why = why.as_str(); "phase");
+    }
+    host.facts.borrow_mut().reshard();
+    host.batcher.update(host);
+    // Other hosts stop sending to a bad version as soon as they hear of it.
+    host.peers.pulse(host);
+}
+
+/// Writes what the store does not say yet. What it says of an end goes before what this host found.
+async fn write(host: &rc::Rc<host::Host>) {
+    let due = {
+        let facts = host.facts.borrow();
+        let old = |service: &str, target: &str| facts.fleet.flights_off(service, target);
+        let now = host.clock.now();
+        facts.moves.due(now, old, &host.peers.members().alive(now))
+    };
+    for moves::Due { service, target, state } in due {
+        if let Err(err) = write_one(host, &service, &target, state).await {
+            let (service, err) = (service.as_str(), err.to_string());
+            log::warn!(target: "moves", service, err = err.as_str(); "status not written");
+        }
+    }
+}
+
+async fn write_one(
+    host: &rc::Rc<host::Host>,
+    service: &str,
+    target: &str,
+    state: moves::State,
+) -> Result<(), store::Error> {
+    let key = operator::status_key(service);
+    let page = store::newest(host, topics::Topic::Status).await?;
+    let record = page.records.iter().find(|record| record.key == key);
+    let status = record.and_then(|record| operator::read_status(record.value.as_deref()?).ok());
+    let known = status.filter(|(version, _)| version == target).map(|(_, state)| state);
+    if let Some(known) = known.filter(|&known| known != moves::State::Active || known == state) {
+        host.facts.borrow_mut().moves.stored(service, target, known);
+        return Ok(());
+    }
+    let value = operator::status(target, state)?;
+    let request = topics::append(topics::Topic::Status, &key, &value, Some(page.end));
+    let answer = host.pool.call(host.settings.store, request, store::LIMIT).await?;
+    let (status, state_name) = (answer.status.as_u16(), format!("{state:?}"));
+    log::info!(target: "moves", service, version = target, state = state_name.as_str(), at = page.end, status; "status written");
+    if answer.status == http::StatusCode::OK {
+        host.facts.borrow_mut().moves.stored(service, target, state);
+    }
+    // Otherwise another host has written something meanwhile, which is read at the next look.
+    Ok(())
+}
--- a/sequoiacrank-edge/src/store.rs
+++ b/sequoiacrank-edge/src/store.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use quick_error::quick_error;
+use sequoiacrank_adapter::operator;
 use sequoiacrank_adapter::store;
 use sequoiacrank_kernel::id;
 
@@ -23,7 +24,7 @@
 /// Time beyond that within which an answer must come.
 const EXTRA: time::Duration = time::Duration::from_millis(1000);
 /// Time within which other calls must be answered.
-const LIMIT: time::Duration = time::Duration::from_millis(1500);
+pub const LIMIT: time::Duration = time::Duration::from_millis(1500);
 /// Time between two calls when one failed.
 const AGAIN: time::Duration = time::Duration::from_millis(400);
 /// Time between two reads of the endpoints' records: they are written every second or so, and what an
@@ -39,7 +40,7 @@
 quick_error! {
     /// Why a topic could not be read.
     #[derive(Debug)]
-    enum Error {
+    pub enum Error {
         /// There is no answer.
         Call(error: client::Error) {
             from()
@@ -52,11 +53,17 @@
             display("{error}")
             source(error)
         }
+        /// A record can't be written.
+        Record(error: operator::Error) {
+            from()
+            display("{error}")
+            source(error)
+        }
     }
 }
 
 /// Reads all newest records of a topic.
-async fn newest(host: &rc::Rc<host::Host>, topic: store::Topic) -> Result<store::Page, Error> {
+pub async fn newest(host: &rc::Rc<host::Host>, topic: store::Topic) -> Result<store::Page, Error> {
     let mut whole = store::Page::default();
     let mut after = None;
     loop {
@@ -152,7 +159,8 @@
     let mut named = false;
     loop {
         if !named {
-            let request = store::append(store::Topic::Hosts, &host.settings.host, own.as_bytes());
+            let request =
+                store::append(store::Topic::Hosts, &host.settings.host, own.as_bytes(), None);
             let answer = host.pool.call(host.settings.store, request, LIMIT).await;
             named = answer.is_ok_and(|answer| answer.status == http::StatusCode::OK);
         }
--- a/sequoiacrank-kernel/src/edge.rs
+++ b/sequoiacrank-kernel/src/edge.rs
@@ -5,6 +5,7 @@
 pub mod endpoint;
 pub mod fleet;
 pub mod members;
+pub mod moves;
 pub mod pace;
 pub mod records;
 pub mod session;
--- a/sequoiacrank-kernel/src/edge/fleet.rs
+++ b/sequoiacrank-kernel/src/edge/fleet.rs
@@ -9,6 +9,7 @@
 use std::time;
 
 use crate::edge::endpoint;
+use crate::edge::moves;
 use crate::edge::pace;
 use crate::id;
 use crate::map;
@@ -39,6 +40,8 @@
     Bad,
     /// It was not reached, or the connection broke.
     Lost,
+    /// Another endpoint has its address.
+    Other,
     /// The host broke the call off; this says nothing about the endpoint.
     Dropped,
 }
@@ -90,6 +93,8 @@
     pub zone: Option<&'a str>,
     /// Requests that an endpoint may get from this host in a second; `None` means any number.
     pub rate: Option<usize>,
+    /// Versions to which it may go; `None` means any.
+    pub side: Option<moves::Side>,
 }
 
 /// All endpoints that a host knows.
@@ -171,6 +176,10 @@
             .filter(|member| !want.avoid.contains(&member.entry.id))
             .filter(|member| want.rate.is_none_or(|rate| member.pace.allows(now, rate)))
             .collect();
+        let all = match &want.side {
+            Some(side) => on_side(all, side),
+            None => all,
+        };
         let mean = all.iter().map(|member| member.calls.len()).sum::<usize>() / all.len().max(1);
         let key = |member: &Member| {
             let grade = member.grade(now);
@@ -218,12 +227,12 @@
         }
         let bad = match end {
             End::Good | End::Full => 0.0,
-            End::Bad | End::Lost => 1.0,
+            End::Bad | End::Lost | End::Other => 1.0,
             End::Dropped => return,
         };
         member.failing += FAIL_WEIGHT * (bad - member.failing);
         match end {
-            End::Lost => {
+            End::Lost | End::Other => {
                 member.strikes = member.strikes.saturating_add(1);
                 let pause = SUSPECT_MIN * (1 << member.strikes.min(4).saturating_sub(1));
                 member.passed = member.passed.max(now + pause.min(SUSPECT_MAX));
@@ -232,12 +241,31 @@
         }
     }
 
+    /// Calls of this host that run on endpoints of a service with another version than `version`.
+    pub fn flights_off(&self, service: &str, version: &str) -> u32 {
+        let others = self
+            .members
+            .values()
+            .filter(|it| it.entry.service == service && it.entry.version != version);
+        others.map(|it| it.calls.len() as u32).sum()
+    }
+
     /// Calls of this host that run on an endpoint.
     pub fn flight(&self, id: &str) -> usize {
         self.members.get(id).map_or(0, |member| member.calls.len())
     }
 }
 
+/// The endpoints that a move leaves to a request.
+fn on_side<'a>(all: Vec<&'a Member>, side: &moves::Side) -> Vec<&'a Member> {
+    let (those, others): (Vec<_>, Vec<_>) =
+        all.into_iter().partition(|member| side.holds(&member.entry.version));
+    match those.is_empty() && !side.strict {
+        true => others,
+        false => those,
+    }
+}
+
 /// Place of an endpoint in the order of a session; the same on all hosts.
 fn rank(session: u64, id: &str) -> u64 {
     xxhash_rust::xxh3::xxh3_64_with_seed(id.as_bytes(), session)
--- a/sequoiacrank-kernel/src/rollout/mod.rs
+++ b/sequoiacrank-kernel/src/rollout/mod.rs
@@ -5,6 +5,7 @@
 //! network counts as taken back: that rule needs no order between the two latches, so that all hosts
 //! come to the same end, and it never puts a version back into service that a host found bad.
 
+pub mod comparison;
 pub mod evidence;
 mod judge;
 pub mod ramp;
--- a/sequoiacrank-kernel/tests/edge/main.rs
+++ b/sequoiacrank-kernel/tests/edge/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions on the event-loop data path.
 
 mod members;
+mod moves;
 mod parts;
 mod site;
 mod stage_load;
--- /dev/null
+++ b/sequoiacrank-kernel/tests/edge/moves.rs
@@ -0,0 +1,236 @@
+//! Moves of versions over several hosts that tell each other of their calls.
+
+use std::net;
+use std::time;
+
+use rand::RngExt as _;
+use rand::SeedableRng as _;
+use sequoiacrank_kernel::edge::moves;
+use sequoiacrank_kernel::policy;
+use sequoiacrank_kernel::rollout;
+
+use crate::site;
+
+const HOSTS: usize = 7;
+const TIME: time::Duration = time::Duration::from_secs(30);
+const BOUND: moves::Bound = moves::Bound { share: 0.1, slack: 50.0 };
+/// Requests in a second, all hosts together.
+const RATE: u64 = 40;
+
+fn address(host: usize) -> net::SocketAddr {
+    net::SocketAddr::from(([10, 0, 0, host as u8], 7000))
+}
+
+/// How a version runs.
+#[derive(Clone, Copy)]
+struct Version {
+    /// Share of its calls that fail.
+    fails: f64,
+    /// Times that its calls take longer.
+    slow: f64,
+    /// Time from which that holds.
+    from: time::Duration,
+    /// The only route on which it holds, out of two.
+    route: Option<&'static str>,
+}
+
+const GOOD: Version = Version { fails: 0.0, slow: 1.0, from: time::Duration::ZERO, route: None };
+
+struct World {
+    hosts: Vec<moves::Moves>,
+    version: Version,
+    random: rand_chacha::ChaCha8Rng,
+    /// Requests that the new version got, of all.
+    new: u64,
+    all: u64,
+    /// Bad answers of the new version, with their times.
+    bad: Vec<time::Duration>,
+    /// Time of the last request to the new version.
+    last: time::Duration,
+    /// Statuses written, with their times.
+    written: Vec<(time::Duration, moves::State)>,
+}
+
+impl World {
+    fn new(version: Version, seed: u64) -> Self {
+        let mut hosts: Vec<_> = (0..HOSTS).map(|_| moves::Moves::default()).collect();
+        let order = moves::Order { target: "v2".into(), time: TIME, offset: 3 };
+        for host in &mut hosts {
+            host.order(site::ms(0), [("desk".to_owned(), order.clone())].into_iter().collect());
+        }
+        let random = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
+        World {
+            hosts,
+            version,
+            random,
+            new: 0,
+            all: 0,
+            bad: Vec::new(),
+            last: time::Duration::ZERO,
+            written: Vec::new(),
+        }
+    }
+
+    fn request(&mut self, now: time::Duration) {
+        let host = self.random.random_range(0..HOSTS);
+        let moves = &mut self.hosts[host];
+        let side = moves.side("desk", HOSTS, &BOUND, self.random.random()).expect("a side");
+        let version = if side.holds("v2") { "v2" } else { "v1" };
+        let route = if self.random.random_bool(0.5) { "bids" } else { "lots" };
+        self.all += 1;
+        let new = version == "v2";
+        let told = self.version;
+        let odd = new && now >= told.from && told.route.is_none_or(|it| it == route);
+        let good = !(odd && self.random.random_bool(told.fails));
+        let slow = if odd { told.slow } else { 1.0 };
+        let taken = time::Duration::from_secs_f64(self.random.random_range(0.015..0.025) * slow);
+        if new {
+            self.new += 1;
+            self.last = now;
+            if !good || slow > 1.0 {
+                self.bad.push(now);
+            }
+        }
+        moves.sent("desk", version);
+        let call = policy::Call { service: "desk", version, route, good, taken };
+        moves.ended(now, &call, &rollout::Sequential);
+    }
+
+    fn run(&mut self, to: time::Duration) {
+        let alive: Vec<_> = (1..HOSTS).map(address).collect();
+        for tick in 0..to.as_millis() as u64 {
+            let now = site::ms(tick);
+            if tick % (1000 / RATE) == 0 {
+                self.request(now);
+            }
+            if tick % 200 == 0 {
+                for host in &mut self.hosts {
+                    host.tick(now, &rollout::Sequential);
+                }
+                for due in self.hosts[0].due(now, |_, _| 0, &alive) {
+                    self.written.push((now, due.state));
+                    self.hosts[0].stored("desk", "v2", due.state);
+                }
+            }
+            if tick % 400 == 0 {
+                let words: Vec<_> = self.hosts.iter().map(|it| it.words(now, |_, _| 0)).collect();
+                for (from, words) in words.iter().enumerate() {
+                    for (_, host) in self.hosts.iter_mut().enumerate().filter(|(to, _)| *to != from)
+                    {
+                        words.iter().for_each(|word| host.learn(now, address(from), word));
+                    }
+                }
+            }
+        }
+    }
+
+    fn states(&self) -> Vec<moves::State> {
+        self.written.iter().map(|(_, state)| *state).collect()
+    }
+
+    fn assert_taken_back(&self) {
+        assert_eq!(self.states(), [moves::State::Active, moves::State::Reverted]);
+        let most = BOUND.share * self.all as f64 + BOUND.slack;
+        assert!(self.new as f64 <= most, "{} of {most}", self.new);
+        if let Some(fiftieth) = self.bad.get(49) {
+            assert!(self.last <= *fiftieth + time::Duration::from_secs(5));
+        }
+    }
+}
+
+#[test]
+fn a_good_version_is_in_service_in_time() {
+    for seed in 0..8 {
+        let mut world = World::new(GOOD, seed);
+        world.run(TIME);
+        assert_eq!(world.states(), [moves::State::Active, moves::State::Completed], "seed {seed}");
+        let moved = world
+            .hosts
+            .iter()
+            .all(|host| host.side("desk", HOSTS, &BOUND, 0.99).is_some_and(|side| side.new));
+        assert!(moved, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_failing_version_is_taken_back_within_the_bound() {
+    for (seed, fails) in [(1, 0.3), (2, 0.3), (3, 0.6), (4, 1.0)] {
+        let mut world = World::new(Version { fails, ..GOOD }, seed);
+        world.run(TIME);
+        world.assert_taken_back();
+    }
+}
+
+#[test]
+fn a_version_that_is_slow_or_fails_on_one_route_is_taken_back() {
+    for version in [
+        Version { slow: 4.0, ..GOOD },
+        Version { fails: 0.5, route: Some("lots"), ..GOOD },
+        Version { slow: 4.0, route: Some("bids"), ..GOOD },
+    ] {
+        for seed in 0..4 {
+            let mut world = World::new(version, seed);
+            world.run(TIME);
+            world.assert_taken_back();
+        }
+    }
+}
+
+/// The fault begins when many versions would already have all requests.
+#[test]
+fn a_version_that_fails_late_meets_few_requests() {
+    for seed in 0..4 {
+        let from = time::Duration::from_secs(12);
+        let mut world = World::new(Version { fails: 0.5, from, ..GOOD }, seed);
+        world.run(TIME);
+        world.assert_taken_back();
+    }
+}
+
+#[test]
+fn without_requests_a_move_is_taken_back_in_time() {
+    let mut host = moves::Moves::default();
+    let order = moves::Order { target: "v2".into(), time: TIME, offset: 3 };
+    host.order(site::ms(0), [("desk".to_owned(), order)].into_iter().collect());
+    host.stored("desk", "v2", moves::State::Active);
+    host.tick(TIME, &rollout::Sequential);
+    assert_eq!(host.due(TIME, |_, _| 0, &[])[0].state, moves::State::Reverted);
+}
+
+/// A process that starts in the middle of a move learns from others how far it is.
+#[test]
+fn a_new_process_sends_nothing_to_the_target_before_it_knows() {
+    let mut world = World::new(Version { fails: 1.0, ..GOOD }, 9);
+    world.run(time::Duration::from_secs(10));
+    let word = world.hosts[0].words(site::ms(10_000), |_, _| 0).remove(0);
+    let mut new = moves::Moves::default();
+    let order = moves::Order { target: "v2".into(), time: TIME, offset: 3 };
+    new.order(site::ms(50), [("desk".to_owned(), order)].into_iter().collect());
+    let side = |host: &moves::Moves| host.side("desk", HOSTS, &BOUND, 0.0).expect("a side");
+    assert!(!side(&new).new && !side(&new).strict);
+    new.learn(site::ms(60), address(0), &word);
+    assert!(!side(&new).new && side(&new).strict);
+    // What the store says goes before: the old version has gone.
+    new.stored("desk", "v2", moves::State::Completed);
+    assert!(side(&new).new);
+}
+
+/// Hosts that still use the old version are waited for, as it ends when the store says that it is done.
+#[test]
+fn a_move_is_done_when_no_host_uses_the_old_version() {
+    let mut world = World::new(GOOD, 3);
+    world.run(time::Duration::from_secs(25));
+    let mut host = moves::Moves::default();
+    let order = moves::Order { target: "v2".into(), time: TIME, offset: 3 };
+    host.order(site::ms(0), [("desk".to_owned(), order)].into_iter().collect());
+    host.stored("desk", "v2", moves::State::Active);
+    let mut word = world.hosts[1].words(site::ms(25_000), |_, _| 1).remove(0);
+    word.phase = moves::Phase::Moved;
+    host.learn(site::ms(25_000), address(1), &word);
+    let due = |host: &moves::Moves, at: u64| host.due(site::ms(at), |_, _| 0, &[address(1)]);
+    assert_eq!(due(&host, 25_000), []);
+    assert_eq!(due(&host, 28_000)[0].state, moves::State::Completed);
+    word.old = 0;
+    host.learn(site::ms(25_400), address(1), &word);
+    assert_eq!(due(&host, 25_400)[0].state, moves::State::Completed);
+}
