Lost answers are doubted, failures fade, hosts find each other sooner, fewer calls to the store

Ruled out: the memory of engines (no request preempted) and crowded endpoints.

Now one broken connection is a doubt and the second within a second, or a connection that is refused, is a loss; shares of failures fade; pulses come every 0.1 s in the first 1.2 s and hosts settle after 0.6 s; a connection that is not heard is told by time instead of the number of pulses; hosts that do not read for others call a lost store less and less often; three hosts name themselves in the store.

--- a/sequoiacrank-edge/src/exchange.rs
+++ b/sequoiacrank-edge/src/exchange.rs
@@ -464,7 +464,7 @@
             }
             client::Error::Time => (fleet::End::Lost, Miss::Lost(code::Code::StageFailed)),
             client::Error::Broken(_) | client::Error::Large => {
-                (fleet::End::Lost, Miss::Lost(code::Code::OutcomeLost))
+                (fleet::End::Broken, Miss::Lost(code::Code::OutcomeLost))
             }
         };
         flight.end(end);
--- a/sequoiacrank-edge/src/flight.rs
+++ b/sequoiacrank-edge/src/flight.rs
@@ -86,6 +86,7 @@
             fleet::End::Good => "good",
             fleet::End::Full => "full",
             fleet::End::Bad => "bad",
+            fleet::End::Broken => "broken",
             fleet::End::Lost => "lost",
             fleet::End::Other => "other",
             fleet::End::Dropped => "dropped",
@@ -96,7 +97,7 @@
         facts.fleet.end(now, &self.endpoint, self.call, end);
         let good = match end {
             fleet::End::Good => true,
-            fleet::End::Bad | fleet::End::Lost => false,
+            fleet::End::Bad | fleet::End::Broken | fleet::End::Lost => false,
             // These say nothing about the version that the endpoint runs.
             fleet::End::Full | fleet::End::Other | fleet::End::Dropped => return,
         };
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -161,7 +161,7 @@
 
     /// Takes over a pulse of another host.
     pub fn heard(self: &rc::Rc<Self>, from: net::SocketAddr, pulse: &wire::Pulse) {
-        self.peers.learn(from, members::Signs::from(pulse));
+        self.peers.learn(self, from, members::Signs::from(pulse));
         for host in &pulse.hosts {
             if let Ok(address) = host.parse() {
                 self.peers.add(self, address);
@@ -293,7 +293,7 @@
             host.peers.add(&host, seed);
         }
         host.peers.pulse(&host);
-        tokio::time::sleep(members::PULSE).await;
+        tokio::time::sleep(members::pause(host.clock.now())).await;
     }
 }
 
--- a/sequoiacrank-edge/src/peer/mod.rs
+++ b/sequoiacrank-edge/src/peer/mod.rs
@@ -24,9 +24,6 @@
 use crate::client;
 use crate::host;
 
-/// Time after the start within which hosts that live are heard: a connection, a pulse each way, and as much
-/// again for those that start a little later.
-const SETTLE: time::Duration = time::Duration::from_millis(900);
 /// Time to connect to another host.
 const CONNECT: time::Duration = time::Duration::from_millis(500);
 /// Time between two attempts to connect.
@@ -72,11 +69,6 @@
         self.members.borrow()
     }
 
-    /// Time until this host knows which others live. Before that it may take itself for the only one.
-    pub fn unsettled(&self, now: id::Time) -> Option<time::Duration> {
-        SETTLE.checked_sub(now).filter(|left| !left.is_zero())
-    }
-
     /// Asks no work of a host for a while, because it did not answer in time.
     pub fn pass_over(&self, now: id::Time, address: net::SocketAddr) {
         self.members.borrow_mut().pass_over(now, address);
@@ -119,8 +111,8 @@
     }
 
     /// Takes over what a pulse says of its sender.
-    pub fn learn(&self, from: net::SocketAddr, signs: members::Signs) {
-        if self.members.borrow_mut().learn(from, signs) {
+    pub fn learn(&self, host: &host::Host, from: net::SocketAddr, signs: members::Signs) {
+        if self.members.borrow_mut().learn(host.clock.now(), from, signs) {
             let (other, leaving) = (from.to_string(), signs.leaving);
             log::info!(target: "hosts", other = other.as_str(), leaving; "leaving");
         }
--- a/sequoiacrank-edge/src/stages.rs
+++ b/sequoiacrank-edge/src/stages.rs
@@ -6,6 +6,7 @@
 use std::rc;
 use std::time;
 
+use sequoiacrank_kernel::edge::members;
 use sequoiacrank_kernel::edge::stage;
 use sequoiacrank_kernel::id;
 use sequoiacrank_kernel::map;
@@ -137,7 +138,7 @@
     shard: &str,
     ask: stage::Ask,
 ) -> Result<Results, Refusal> {
-    if let Some(left) = host.peers.unsettled(host.clock.now()) {
+    if let Some(left) = members::unsettled(host.clock.now()) {
         tokio::time::sleep(left).await;
     }
     let mut avoid = Vec::new();
--- a/sequoiacrank-edge/src/store.rs
+++ b/sequoiacrank-edge/src/store.rs
@@ -7,6 +7,7 @@
 use quick_error::quick_error;
 use sequoiacrank_adapter::operator;
 use sequoiacrank_adapter::store;
+use sequoiacrank_kernel::edge::members;
 use sequoiacrank_kernel::id;
 
 use crate::client;
@@ -20,13 +21,17 @@
 /// silent goes unnoticed for as long.
 const HOLD: time::Duration = time::Duration::from_secs(4);
 /// The same for other hosts, which hear of newer records from readers.
-const LONG_HOLD: time::Duration = time::Duration::from_secs(20);
+const LONG_HOLD: time::Duration = time::Duration::from_secs(28);
 /// Time beyond that within which an answer must come.
 const EXTRA: time::Duration = time::Duration::from_millis(1000);
 /// Time within which other calls must be answered.
 pub const LIMIT: time::Duration = time::Duration::from_millis(1500);
-/// Time between two calls when one failed.
+/// Time between two calls of a reader when one failed, and of other hosts after the first failure.
 const AGAIN: time::Duration = time::Duration::from_millis(400);
+/// Times that other hosts double it: readers tell them when the store is back.
+const DOUBLINGS: u32 = 3;
+/// Hosts that name themselves in the store. Others find these, and are named by them.
+const NAMED: usize = 3;
 /// Time between two reads of the endpoints' records: they are written every second or so, and what an
 /// endpoint says of leaving has to be known within two.
 const ENDPOINTS: time::Duration = time::Duration::from_millis(500);
@@ -118,7 +123,7 @@
 pub async fn follow(host: rc::Rc<host::Host>, topic: store::Topic) {
     let name = format!("{topic:?}");
     let mut whole = false;
-    let mut lost = false;
+    let mut failures = 0;
     loop {
         let began = host.clock.now();
         let result = match topic {
@@ -134,7 +139,7 @@
         match result {
             Ok(()) => {
                 whole = true;
-                if std::mem::take(&mut lost) {
+                if std::mem::take(&mut failures) > 0 {
                     log::info!(target: "store", topic = name.as_str(); "regained");
                 }
                 if topic == store::Topic::Endpoints {
@@ -143,11 +148,15 @@
                 }
             }
             Err(err) => {
-                if !std::mem::replace(&mut lost, true) {
+                if failures == 0 {
                     let err = err.to_string();
                     log::warn!(target: "store", topic = name.as_str(), err = err.as_str(); "lost");
                 }
-                tokio::time::sleep(AGAIN).await;
+                let doubled = if is_reader(&host) { 0 } else { DOUBLINGS.min(failures) };
+                failures += 1;
+                // Hosts that lost the store at the same moment do not all come back to it at once.
+                let spread = 0.75 + 0.5 * rand::random::<f64>();
+                tokio::time::sleep((AGAIN * (1 << doubled)).mul_f64(spread)).await;
             }
         }
     }
@@ -158,25 +167,33 @@
     let own = host.settings.peer.to_string();
     let mut named = false;
     loop {
-        if !named {
+        if let Some(left) = members::unsettled(host.clock.now()) {
+            tokio::time::sleep(left).await;
+        }
+        let alone = host.peers.members().alive(host.clock.now()).is_empty();
+        if !named && (alone || stages::place(&host) < NAMED) {
             let request =
                 store::append(store::Topic::Hosts, &host.settings.host, own.as_bytes(), None);
             let answer = host.pool.call(host.settings.store, request, LIMIT).await;
             named = answer.is_ok_and(|answer| answer.status == http::StatusCode::OK);
         }
-        match newest(&host, store::Topic::Hosts).await {
-            Ok(page) => {
-                for address in page.records.into_iter().filter_map(address) {
-                    host.peers.add(&host, address);
-                }
-            }
-            // Whoever follows the other topics says that the store is lost.
-            Err(err) => log::debug!(target: "hosts", err = err.to_string().as_str(); "not read"),
+        if alone {
+            find(&host).await;
         }
         tokio::time::sleep(MEET).await;
-        while named && !host.peers.members().alive(host.clock.now()).is_empty() {
-            tokio::time::sleep(MEET).await;
+    }
+}
+
+/// Finds other hosts in the store.
+async fn find(host: &rc::Rc<host::Host>) {
+    match newest(host, store::Topic::Hosts).await {
+        Ok(page) => {
+            for address in page.records.into_iter().filter_map(address) {
+                host.peers.add(host, address);
+            }
         }
+        // Whoever follows the other topics says that the store is lost.
+        Err(err) => log::debug!(target: "hosts", err = err.to_string().as_str(); "not read"),
     }
 }
 
--- a/sequoiacrank-edge/src/stream.rs
+++ b/sequoiacrank-edge/src/stream.rs
@@ -82,8 +82,8 @@
     Whole,
     /// The caller went away.
     Gone,
-    /// The endpoint broke off or said nothing for too long.
-    Broken(&'static str),
+    /// The endpoint broke off, or said nothing for too long.
+    Broken(fleet::End, &'static str),
 }
 
 /// Passes a stream on in the background.
@@ -118,10 +118,10 @@
                 log::info!(target: "request", id, took, code = code::Code::Cancelled.number(); "caller gone");
                 return;
             }
-            End::Broken(reason) => {
+            End::Broken(end, reason) => {
                 let endpoint = upstream.flight.endpoint.clone();
                 log::info!(target: "request", id, endpoint = endpoint.as_str(), last = events.last(), reason; "stream broken");
-                upstream.flight.end(fleet::End::Lost);
+                upstream.flight.end(end);
                 // Ends the work at the endpoint before another one goes on with it.
                 drop(upstream.connection);
                 events.cut();
@@ -168,8 +168,8 @@
             frame = tokio::time::timeout(limit, body.frame()) => frame,
         };
         let bytes = match frame {
-            Err(_) => return End::Broken("no event in time"),
-            Ok(Some(Err(_))) => return End::Broken("connection lost"),
+            Err(_) => return End::Broken(fleet::End::Lost, "no event in time"),
+            Ok(Some(Err(_))) => return End::Broken(fleet::End::Broken, "connection lost"),
             Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             Ok(None) => {
                 let rest = events.rest();
--- a/sequoiacrank-kernel/src/edge/fleet.rs
+++ b/sequoiacrank-kernel/src/edge/fleet.rs
@@ -20,12 +20,17 @@
 const SUSPECT_MAX: time::Duration = time::Duration::from_secs(4);
 /// Weight of the newest answer in an endpoint's share of failures.
 const FAIL_WEIGHT: f64 = 0.2;
+/// Time in which a share of failures fades to a third: about that of a fault which passes.
+const FAIL_FADE: time::Duration = time::Duration::from_secs(4);
 /// Share of failures from which on others are preferred.
 const FAIL_SHARE: f64 = 0.25;
 /// Time without an answer, in multiples of the usual, from which on an endpoint counts as silent.
 const SILENT_TIMES: u32 = 4;
 /// Shortest time without an answer from which on an endpoint counts as silent.
 const SILENT_MIN: time::Duration = time::Duration::from_millis(400);
+/// Time within which a second broken connection shows that an endpoint crashed. One alone may be a lost
+/// answer, and its sessions would be read again elsewhere; the next connection tells at once.
+const DOUBT: time::Duration = time::Duration::from_secs(1);
 /// Requests of a session's endpoint beyond the mean of all from which on another one takes the session.
 const CROWD: usize = 6;
 
@@ -38,7 +43,9 @@
     Full,
     /// It answered with a failure of its own.
     Bad,
-    /// It was not reached, or the connection broke.
+    /// The connection broke after the request was sent: the endpoint crashed, or this answer alone is lost.
+    Broken,
+    /// It was not reached, or did not answer in time.
     Lost,
     /// Another endpoint has its address.
     Other,
@@ -52,12 +59,16 @@
     entry: endpoint::Endpoint,
     /// Calls of this host that have not ended, by their start, with whether they were answered.
     calls: map::FastMap<u64, (id::Time, bool)>,
-    /// Share of failures among its last answers.
+    /// Share of failures among its last answers, as of the last one.
     failing: f64,
+    /// Time of the last answer or failure.
+    judged: id::Time,
     /// Failures to reach it since it was last reached.
     strikes: u32,
     /// Time until which it is passed over.
     passed: id::Time,
+    /// Time of the last broken connection behind its last answer.
+    doubt: Option<id::Time>,
     /// Usual time to the first byte of its answers.
     usual: Option<time::Duration>,
     pace: pace::Pace,
@@ -70,13 +81,20 @@
         self.calls.values().any(|&(at, answered)| !answered && now > at + bound)
     }
 
+    /// Share of failures as it counts now: an endpoint that others are preferred to gets no requests that
+    /// would show that it recovered.
+    fn failing(&self, now: id::Time) -> f64 {
+        let age = now.saturating_sub(self.judged).as_secs_f64() / FAIL_FADE.as_secs_f64();
+        self.failing * libm::exp(-age)
+    }
+
     /// Order of preference; lower is better.
     fn grade(&self, now: id::Time) -> u8 {
         match () {
             () if now < self.passed => 3,
             () if self.strikes > 0 && !self.calls.is_empty() => 3,
             () if self.silent(now) => 2,
-            () if self.failing > FAIL_SHARE => 1,
+            () if self.failing(now) > FAIL_SHARE => 1,
             () => 0,
         }
     }
@@ -121,8 +139,10 @@
                     entry: entry.clone(),
                     calls: map::FastMap::default(),
                     failing: 0.0,
+                    judged: id::Time::ZERO,
                     strikes: 0,
                     passed: id::Time::ZERO,
+                    doubt: None,
                     usual: None,
                     pace: pace::Pace::default(),
                 };
@@ -217,6 +237,7 @@
         let took = now.saturating_sub(state.0);
         member.usual = Some(member.usual.map_or(took, |usual| (usual * 7 + took) / 8));
         member.strikes = 0;
+        member.doubt = None;
     }
 
     /// Notes the end of a call.
@@ -227,12 +248,16 @@
         }
         let bad = match end {
             End::Good | End::Full => 0.0,
-            End::Bad | End::Lost | End::Other => 1.0,
+            End::Bad | End::Broken | End::Lost | End::Other => 1.0,
             End::Dropped => return,
         };
-        member.failing += FAIL_WEIGHT * (bad - member.failing);
+        let failing = member.failing(now);
+        member.failing = failing + FAIL_WEIGHT * (bad - failing);
+        member.judged = now;
+        let alone = member.doubt.is_none_or(|at| now >= at + DOUBT);
         match end {
-            End::Lost | End::Other => {
+            End::Broken if alone => member.doubt = Some(now),
+            End::Broken | End::Lost | End::Other => {
                 member.strikes = member.strikes.saturating_add(1);
                 let pause = SUSPECT_MIN * (1 << member.strikes.min(4).saturating_sub(1));
                 member.passed = member.passed.max(now + pause.min(SUSPECT_MAX));
--- a/sequoiacrank-kernel/src/edge/members.rs
+++ b/sequoiacrank-kernel/src/edge/members.rs
@@ -14,14 +14,21 @@
 /// Time between two pulses: a lost host is noticed within a few of them, which is within the shortest
 /// target of a streamed request.
 pub const PULSE: time::Duration = time::Duration::from_millis(400);
+/// Time after the start for which pulses follow each other fast: hosts that start together find each other
+/// by them.
+const YOUNG: time::Duration = time::Duration::from_millis(1200);
+/// Time between those pulses.
+const YOUNG_PULSE: time::Duration = time::Duration::from_millis(100);
+/// Time after the start within which hosts that live are heard, those that start up to 0.3 s later included.
+const SETTLE: time::Duration = time::Duration::from_millis(600);
 /// Time without a message after which a host counts as lost.
 const LOST: time::Duration = time::Duration::from_millis(1300);
 /// Time after which a host that is not heard is forgotten.
 const FORGET: time::Duration = time::Duration::from_secs(20);
 /// Time for which a host is passed over that did not answer in time.
 const PASSED: time::Duration = time::Duration::from_secs(2);
-/// Pulses that the other side may miss before the connection is made anew.
-const MISSED: u64 = 4;
+/// Time for which the other side may hear no pulse before the connection is made anew: four pulses.
+const MISSED: time::Duration = time::Duration::from_millis(1600);
 /// Pulses after which a host is told all names once more, in case that a message was lost: ten seconds.
 const NAMES: u64 = 25;
 
@@ -49,8 +56,8 @@
     /// Time until which no work is asked of it.
     passed: id::Time,
     signs: Signs,
-    /// Number of the own pulse at which the connection was made.
-    renewed: u64,
+    /// Time at which it last told that it heard a further pulse, or at which the connection was made.
+    echoed: id::Time,
 }
 
 impl Member {
@@ -59,6 +66,17 @@
     }
 }
 
+/// Time between the pulse of a host and its next one, so long after its start.
+pub fn pause(age: time::Duration) -> time::Duration {
+    if age < YOUNG { YOUNG_PULSE } else { PULSE }
+}
+
+/// Time until a host knows which others live, so long after its start. Before that it may take itself for
+/// the only one.
+pub fn unsettled(age: time::Duration) -> Option<time::Duration> {
+    SETTLE.checked_sub(age).filter(|left| !left.is_zero())
+}
+
 /// A pulse to one host.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Pulse {
@@ -103,7 +121,7 @@
             since: now,
             passed: id::Time::ZERO,
             signs: Signs::default(),
-            renewed: self.number,
+            echoed: now,
         };
         self.members.insert(address, member);
         true
@@ -129,9 +147,12 @@
     }
 
     /// Takes over what a host says of itself. Returns whether it begins or ceases to leave.
-    pub fn learn(&mut self, from: net::SocketAddr, signs: Signs) -> bool {
+    pub fn learn(&mut self, now: id::Time, from: net::SocketAddr, signs: Signs) -> bool {
         let Some(member) = self.members.get_mut(&from) else { return false };
         let old = std::mem::replace(&mut member.signs, signs);
+        if signs.heard != old.heard {
+            member.echoed = now;
+        }
         old.leaving != signs.leaving
     }
 
@@ -155,13 +176,13 @@
                 false => news.iter().copied().filter(|&it| it != to).collect(),
             };
             pulses.push(Pulse { to, number, heard: member.signs.number, names });
-            if number.saturating_sub(member.signs.heard.max(member.renewed)) > MISSED {
+            if now > member.echoed + MISSED {
                 silent.push(to);
             }
         }
         for address in &silent {
             if let Some(member) = self.members.get_mut(address) {
-                member.renewed = number;
+                member.echoed = now;
             }
         }
         Round { pulses, silent, forgotten }
--- a/sequoiacrank-kernel/tests/edge/main.rs
+++ b/sequoiacrank-kernel/tests/edge/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions on the event-loop data path.
 
+mod fleet;
 mod members;
 mod moves;
 mod parts;
