Requests that crash endpoints are refused over all hosts; logs say versions and ages, and are bounded by settings

Cause: a request that comes again after each crash took one endpoint after the other with it, as hosts on the platform kept no count. A broken connection is no crash by itself (answers get lost as well), so that it counts once the endpoint refuses connections, starts anew or its registration lapses. From three crashes over all hosts on the request is refused with code 2008; one that is served anywhere counts no more at that host, so that popular requests which run on most endpoints that crash stay in service (tested).

Log lines of sends and refusals carry the version of the configuration and the age of the endpoints' records. Settings "log" bound the level and the routine lines in a second; what is left out is counted as before.

--- a/sequoiacrank-config/src/edge.rs
+++ b/sequoiacrank-config/src/edge.rs
@@ -36,6 +36,17 @@
     pub cold: Cold,
     /// Requests that a version on trial gets; all hosts together.
     pub moves: Moves,
+    /// What is logged.
+    pub log: Log,
+}
+
+/// What is logged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Log {
+    /// The least severe lines that are logged.
+    pub level: log::LevelFilter,
+    /// Lines in a second at most, but for warnings and errors; what is left out is counted.
+    pub lines: u32,
 }
 
 /// Bound on the requests that a new version gets before it is judged.
@@ -123,6 +134,34 @@
     }
 }
 
+/// Name of the least severe lines that are logged.
+struct Level(log::LevelFilter);
+
+impl read::Decode for Level {
+    fn decode(node: &tree::Node, sink: &mut read::Sink) -> Option<Self> {
+        let names = "\"off\", \"error\", \"warn\", \"info\" or \"debug\"";
+        read::text_as(node, sink, names, |text| text.parse().ok().map(Level))
+    }
+}
+
+impl Default for Log {
+    /// Several lines for each request of a host under its highest load.
+    fn default() -> Self {
+        Log { level: log::LevelFilter::Info, lines: 2000 }
+    }
+}
+
+impl read::Decode for Log {
+    fn decode(node: &tree::Node, sink: &mut read::Sink) -> Option<Self> {
+        let mut fields = read::Reader::new(node, sink)?;
+        let usual = Log::default();
+        let level = fields.or("level", Level(usual.level));
+        let lines = fields.or("lines", usual.lines);
+        fields.done();
+        Some(Log { level: level?.0, lines: lines? })
+    }
+}
+
 impl read::Decode for Settings {
     fn decode(node: &tree::Node, sink: &mut read::Sink) -> Option<Self> {
         let mut fields = read::Reader::new(node, sink)?;
@@ -139,6 +178,7 @@
         let retries = fields.need("retries");
         let cold = fields.need("cold");
         let moves = fields.or("moves", Moves::default());
+        let log = fields.or("log", Log::default());
         fields.done();
         Some(Settings {
             host: host?,
@@ -154,6 +194,7 @@
             retries: retries?,
             cold: cold?,
             moves: moves?,
+            log: log?,
         })
     }
 }
--- a/sequoiacrank-edge/src/exchange.rs
+++ b/sequoiacrank-edge/src/exchange.rs
@@ -1,6 +1,7 @@
 //! One request of a caller, from its head to its answer.
 
 use std::cell;
+use std::io;
 use std::rc;
 use std::sync;
 use std::time;
@@ -9,6 +10,7 @@
 use hyper::body;
 use sequoiacrank_adapter::call;
 use sequoiacrank_adapter::ingress;
+use sequoiacrank_adapter::store;
 use sequoiacrank_kernel::code;
 use sequoiacrank_kernel::edge::budget;
 use sequoiacrank_kernel::edge::catalog;
@@ -55,10 +57,14 @@
     uri: http::Uri,
     passed: http::HeaderMap,
     body: Bytes,
+    /// Tells that a caller sends the same once more.
+    fingerprint: id::Fingerprint,
     pub(crate) began: id::Time,
     pub(crate) deadline: id::Time,
     aim: id::Time,
     rank: u32,
+    /// Version of the configuration that admitted it.
+    version: catalog::Version,
     session: Option<u64>,
     pub(crate) results: cell::RefCell<Option<stages::Results>>,
     tried: cell::RefCell<Vec<id::EndpointId>>,
@@ -150,6 +156,12 @@
             return Err(refuse(refusal::Refusal::new(code::Code::BodyLate), &id));
         }
     };
+    let fingerprint = fingerprint(&parts, head.key.as_deref(), &body);
+    let crashes = host.facts.borrow().crashes.refused(host.clock.now(), fingerprint);
+    if let Some(crashes) = crashes {
+        log::warn!(target: "request", id = id.as_str(), crashes, fingerprint; "suspect");
+        return Err(refuse(refusal::Refusal::new(code::Code::Suspect), &id));
+    }
     let session = {
         let mut facts = host.facts.borrow_mut();
         let budget = facts.budgets.entry(service.clone()).or_default();
@@ -165,12 +177,14 @@
         deadline: began + budget,
         aim: began + route.target,
         rank: catalog.rank(&route, workspace.as_deref()),
+        version: catalog.version,
         session,
         head,
         route,
         service,
         workspace,
         body,
+        fingerprint,
         began,
         results: cell::RefCell::new(None),
         tried: cell::RefCell::default(),
@@ -180,6 +194,12 @@
     })
 }
 
+/// Hash of what a caller asks for: the same for each attempt of one request.
+fn fingerprint(parts: &http::request::Parts, key: Option<&str>, body: &Bytes) -> id::Fingerprint {
+    let head = format!("{} {} {}", parts.method, parts.uri, key.unwrap_or_default());
+    xxhash_rust::xxh3::xxh3_64_with_seed(body, xxhash_rust::xxh3::xxh3_64(head.as_bytes()))
+}
+
 impl host::Host {
     /// The bound on repeats of all hosts together.
     fn bound(&self) -> budget::Bound {
@@ -208,7 +228,7 @@
             .requests
             .with_label_values(&[&self.route.name, &number.to_string()])
             .inc();
-        log::warn!(target: "request", id = self.head.attempt.as_str(), route = self.route.name.as_str(), code = number, sends = self.sends.get(), took, after; "refused");
+        log::warn!(target: "request", id = self.head.attempt.as_str(), route = self.route.name.as_str(), code = number, version = self.version, known = self.known(), sends = self.sends.get(), took, after; "refused");
         refusal.answer()
     }
 
@@ -304,6 +324,13 @@
         facts.moves.side(&self.service, hosts, &bound, rand::random())
     }
 
+    /// Age of the endpoints' records in milliseconds.
+    fn known(&self) -> Option<u64> {
+        let facts = self.host.facts.borrow();
+        let fresh = facts.records(store::Topic::Endpoints).fresh()?;
+        Some(host::millis(self.host.clock.now().saturating_sub(fresh)))
+    }
+
     /// Takes one repeat out of the budget.
     pub fn repeat(&self) -> bool {
         let now = self.host.clock.now();
@@ -411,7 +438,7 @@
         flight.sent(&self.route.name);
         let patience = self.patience();
         let session = self.session.map(|session| format!("{session:016x}"));
-        log::info!(target: "request", id = self.head.attempt.as_str(), endpoint, session, left = host::millis(self.left()), patience = host::millis(patience), flight = host.facts.borrow().fleet.flight(endpoint); "sent");
+        log::info!(target: "request", id = self.head.attempt.as_str(), endpoint, session, version = self.version, known = self.known(), left = host::millis(self.left()), patience = host::millis(patience), flight = host.facts.borrow().fleet.flight(endpoint); "sent");
         let sent = connection.send(self.order(endpoint, resume));
         let mut answer =
             tokio::time::timeout(patience, sent).await.unwrap_or(Err(client::Error::Time));
@@ -467,10 +494,32 @@
                 (fleet::End::Broken, Miss::Lost(code::Code::OutcomeLost))
             }
         };
+        self.note_crash(&flight.endpoint, end, err);
         flight.end(end);
         miss
     }
 
+    /// Notes what the end of a send says of the request and of its endpoint.
+    fn note_crash(&self, endpoint: &str, end: fleet::End, err: &client::Error) {
+        let now = self.host.clock.now();
+        match err {
+            client::Error::Connect(err) if err.kind() == io::ErrorKind::ConnectionRefused => {
+                let requests = self.host.facts.borrow_mut().crashes.down(now, endpoint);
+                if requests > 0 {
+                    log::info!(target: "endpoints", endpoint, requests; "crashed");
+                }
+            }
+            _ if end == fleet::End::Broken => self.broke(endpoint),
+            _ => {}
+        }
+    }
+
+    /// Notes that a connection broke while an endpoint ran the request.
+    pub fn broke(&self, endpoint: &str) {
+        let now = self.host.clock.now();
+        self.host.facts.borrow_mut().crashes.broke(now, endpoint, self.fingerprint);
+    }
+
     fn order(&self, endpoint: &str, resume: Option<u64>) -> http::Request<Bytes> {
         let results = self.results.borrow();
         let workspace = self.workspace.as_ref().and_then(|it| it.rank);
@@ -540,6 +589,9 @@
 
     /// Notes that an endpoint's answer went to the caller.
     pub fn answered(&self, status: http::StatusCode, first: time::Duration) {
+        if status.is_success() {
+            self.host.facts.borrow_mut().crashes.served(self.fingerprint);
+        }
         let (id, route) = (self.head.attempt.as_str(), self.route.name.as_str());
         let first = host::millis(first);
         let took = host::millis(self.host.clock.now().saturating_sub(self.began));
--- a/sequoiacrank-edge/src/facts.rs
+++ b/sequoiacrank-edge/src/facts.rs
@@ -9,6 +9,7 @@
 use sequoiacrank_adapter::store;
 use sequoiacrank_kernel::edge::budget;
 use sequoiacrank_kernel::edge::catalog;
+use sequoiacrank_kernel::edge::crash;
 use sequoiacrank_kernel::edge::endpoint;
 use sequoiacrank_kernel::edge::fleet;
 use sequoiacrank_kernel::edge::moves;
@@ -32,6 +33,8 @@
     pub fleet: fleet::Fleet,
     /// Budgets of repeats by service.
     pub budgets: map::FastMap<id::ServiceId, budget::Budget>,
+    /// Requests that crash endpoints.
+    pub crashes: crash::Crashes,
     /// Moves of services to new versions.
     pub moves: moves::Moves,
     /// What tells the sessions of requests.
@@ -183,6 +186,9 @@
                     let leaving = entry.leaving;
                     let service = entry.service.clone();
                     let started = self.fleet.register(entry);
+                    if started {
+                        self.crashes.down(now, id);
+                    }
                     if !same {
                         self.news.insert(id.clone(), offset);
                         usable = true;
@@ -209,6 +215,7 @@
             }
             _ => {
                 let known = self.fleet.remove(id);
+                self.crashes.down(now, id);
                 if known {
                     let offset = self.endpoints.offset(id);
                     log::info!(target: "endpoints", endpoint = id, offset; "gone");
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -10,6 +10,7 @@
 use sequoiacrank_kernel::edge::members;
 use sequoiacrank_kernel::id;
 use sequoiacrank_kernel::map;
+use sequoiacrank_kernel::message;
 use tokio::net::TcpListener;
 use tokio::task;
 
@@ -156,6 +157,7 @@
             process: self.process,
             cpu: self.settings.cpu,
             moves: self.words().into_iter().map(wire::Move::from).collect(),
+            suspects: facts.crashes.digest().into_iter().map(wire::Suspect::from).collect(),
         }
     }
 
@@ -169,6 +171,12 @@
         }
         // Both topics are followed at the store as well; what another host has newer than that shows that
         // the store can't be reached from here, or answers late.
+        if !pulse.suspects.is_empty() {
+            let suspects: Vec<_> =
+                pulse.suspects.iter().copied().map(message::Suspect::from).collect();
+            let now = self.clock.now();
+            self.facts.borrow_mut().crashes.learn(now, &from.to_string(), &suspects);
+        }
         self.take_words(from, &pulse.moves);
         self.fetch(from, false, pulse.operators);
         self.fetch(from, true, pulse.endpoints);
--- a/sequoiacrank-edge/src/logs.rs
+++ b/sequoiacrank-edge/src/logs.rs
@@ -13,6 +13,7 @@
 use logforth::kv;
 use logforth::record;
 use quick_error::quick_error;
+use sequoiacrank_config::edge;
 
 /// Lines that wait to be written at most.
 const QUEUE: usize = 4096;
@@ -39,6 +40,8 @@
 }
 
 static DROPPED: atomic::AtomicU64 = atomic::AtomicU64::new(0);
+/// Routine lines since the last write.
+static RECENT: atomic::AtomicU64 = atomic::AtomicU64::new(0);
 static LINES: sync::OnceLock<(channel::Sender<String>, channel::Receiver<String>)> =
     sync::OnceLock::new();
 
@@ -50,6 +53,8 @@
 #[derive(Debug)]
 struct Queue {
     host: String,
+    /// Routine lines between two writes at most.
+    most: u64,
 }
 
 struct Fields(serde_json::Map<String, serde_json::Value>);
@@ -68,7 +73,7 @@
             () => value.to_string().into(),
         };
         // An input that there was not.
-        if value == "None" {
+        if value == "None" || value == "<none>" {
             return Ok(());
         }
         self.0.insert(key.to_string(), value);
@@ -85,7 +90,8 @@
         let Some((lines, _)) = LINES.get() else { return Ok(()) };
         // Refusals, failures and losses are logged as warnings and are the last to be left out.
         let routine = record.level() > record::Level::Warn;
-        if lines.is_full() || (routine && lines.len() > ROUTINE) {
+        let much = || RECENT.fetch_add(1, atomic::Ordering::Relaxed) >= self.most;
+        if lines.is_full() || (routine && (lines.len() > ROUTINE || much())) {
             DROPPED.fetch_add(1, atomic::Ordering::Relaxed);
             return Ok(());
         }
@@ -111,6 +117,7 @@
 /// Writes all lines that wait.
 pub fn flush() {
     let Some((_, lines)) = LINES.get() else { return };
+    RECENT.store(0, atomic::Ordering::Relaxed);
     let mut text = String::new();
     for line in lines.try_iter() {
         text.push_str(&line);
@@ -125,14 +132,15 @@
 /// # Errors
 ///
 /// When they were set up before, or the writer can't be started.
-pub fn setup(host: &str) -> Result<(), Error> {
+pub fn setup(host: &str, settings: &edge::Log) -> Result<(), Error> {
     LINES.set(channel::bounded(QUEUE)).map_err(|_| Error::Twice)?;
-    let queue = Queue { host: host.to_owned() };
+    let most = u64::from(settings.lines) * PAUSE.as_millis() as u64 / 1000;
+    let queue = Queue { host: host.to_owned(), most };
     logforth::starter_log::builder()
         .dispatch(|dispatch| dispatch.append(queue))
         .try_apply()
         .map_err(|_| Error::Twice)?;
-    log::set_max_level(log::LevelFilter::Info);
+    log::set_max_level(settings.level);
     let write = || loop {
         thread::sleep(PAUSE);
         flush();
--- a/sequoiacrank-edge/src/peer/wire.rs
+++ b/sequoiacrank-edge/src/peer/wire.rs
@@ -107,6 +107,32 @@
     /// What the sender says of moves of services to new versions.
     #[prost(message, repeated, tag = "9")]
     pub moves: Vec<Move>,
+    /// Requests during which endpoints crashed.
+    #[prost(message, repeated, tag = "10")]
+    pub suspects: Vec<Suspect>,
+}
+
+/// A request during which endpoints crashed.
+#[derive(Clone, Copy, PartialEq, prost::Message)]
+pub struct Suspect {
+    /// Hash of the request.
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    /// Endpoints that crashed on the sender's calls.
+    #[prost(uint32, tag = "2")]
+    pub crashes: u32,
+}
+
+impl From<message::Suspect> for Suspect {
+    fn from(suspect: message::Suspect) -> Self {
+        Suspect { fingerprint: suspect.fingerprint, crashes: suspect.crashes }
+    }
+}
+
+impl From<Suspect> for message::Suspect {
+    fn from(wire: Suspect) -> Self {
+        message::Suspect { fingerprint: wire.fingerprint, crashes: wire.crashes }
+    }
 }
 
 /// What a host says of a move.
--- a/sequoiacrank-edge/src/stream.rs
+++ b/sequoiacrank-edge/src/stream.rs
@@ -121,6 +121,9 @@
             End::Broken(end, reason) => {
                 let endpoint = upstream.flight.endpoint.clone();
                 log::info!(target: "request", id, endpoint = endpoint.as_str(), last = events.last(), reason; "stream broken");
+                if end == fleet::End::Broken {
+                    exchange.broke(&endpoint);
+                }
                 upstream.flight.end(end);
                 // Ends the work at the endpoint before another one goes on with it.
                 drop(upstream.connection);
--- a/sequoiacrank-kernel/src/code.rs
+++ b/sequoiacrank-kernel/src/code.rs
@@ -74,6 +74,7 @@
     NoEndpoint = 2005, 503, "No endpoint of the service is in service", "Bring endpoints or an availability zone back.";
     LogDown = 2006, 503, "The platform's log can't confirm the claim in time", "Repeat with the same key after retry_after_ms.";
     Crashing = 2007, 422, "Endpoints crashed while they ran this request", "Change the request before sending it again.";
+    Suspect = 2008, 503, "Endpoints crashed while they ran this request", "Change the request before sending it again.";
     StageFailed = 3001, 502, "A stage failed and can't be retried", "See the detail; repeat if it may be repeated.";
     BadAnswer = 3002, 502, "An endpoint's answer was malformed, cut short or for another request", "Check the endpoint.";
     Cancelled = 3003, 499, "The caller went away", "None.";
--- a/sequoiacrank-kernel/src/edge.rs
+++ b/sequoiacrank-kernel/src/edge.rs
@@ -2,6 +2,7 @@
 
 pub mod budget;
 pub mod catalog;
+pub mod crash;
 pub mod endpoint;
 pub mod fleet;
 pub mod members;
--- a/sequoiacrank-kernel/src/suspect.rs
+++ b/sequoiacrank-kernel/src/suspect.rs
@@ -88,7 +88,20 @@
 
     /// Whether requests with `fingerprint` are refused now.
     pub fn refused(&self, now: id::Time, fingerprint: id::Fingerprint) -> bool {
-        self.entries.get(&fingerprint).is_some_and(|entry| entry.sum(now) >= CRASHES)
+        self.crashes(now, fingerprint) >= CRASHES
+    }
+
+    /// Crashes of requests with `fingerprint` that count now, over all hosts.
+    pub fn crashes(&self, now: id::Time, fingerprint: id::Fingerprint) -> u32 {
+        self.entries.get(&fingerprint).map_or(0, |entry| entry.sum(now))
+    }
+
+    /// Lets the crashes up to now not count any more.
+    pub fn cleared(&mut self, fingerprint: id::Fingerprint) {
+        if let Some(entry) = self.entries.get_mut(&fingerprint) {
+            entry.own.live = 0;
+            entry.peers.values_mut().for_each(|count| count.live = 0);
+        }
     }
 
     /// Takes over a peer's counts, which are cumulative since its start.
--- /dev/null
+++ b/sequoiacrank-kernel/tests/edge/crash.rs
@@ -0,0 +1,57 @@
+//! A request that takes an endpoint with it each time, sent to any host.
+
+use sequoiacrank_kernel::edge::crash;
+
+use crate::site;
+
+const POISON: u64 = 7;
+const OTHER: u64 = 8;
+
+/// Sends the request to hosts in turn until all refuse it. Returns how often it ran.
+fn runs(hosts: &mut [crash::Crashes], served: bool) -> u32 {
+    let mut runs = 0;
+    for number in 0..40u64 {
+        let now = site::ms(1000 * number);
+        let own = number as usize % hosts.len();
+        if hosts[own].refused(now, POISON).is_some() {
+            continue;
+        }
+        runs += 1;
+        let endpoint = format!("engine-{number}");
+        hosts[own].broke(now, &endpoint, POISON);
+        hosts[own].down(now + site::ms(20), &endpoint);
+        if served {
+            hosts.iter_mut().for_each(|host| host.served(POISON));
+        }
+        let digest = hosts[own].digest();
+        for (_, host) in hosts.iter_mut().enumerate().filter(|(to, _)| *to != own) {
+            host.learn(now + site::ms(400), &format!("host-{own}"), &digest);
+        }
+    }
+    runs
+}
+
+#[test]
+fn a_request_that_crashes_endpoints_runs_three_times_over_all_hosts() {
+    let mut hosts = vec![crash::Crashes::default(); 4];
+    assert_eq!(runs(&mut hosts, false), 3);
+    assert!(hosts.iter().all(|host| host.refused(site::ms(40_000), OTHER).is_none()));
+}
+
+/// A popular request runs on most endpoints that crash, and is served by the others.
+#[test]
+fn a_request_that_is_served_as_well_is_not_refused() {
+    let mut hosts = vec![crash::Crashes::default(); 4];
+    assert_eq!(runs(&mut hosts, true), 40);
+}
+
+#[test]
+fn lost_answers_are_no_crashes() {
+    let mut host = crash::Crashes::default();
+    for number in 0..10 {
+        host.broke(site::ms(number * 100), "engine-1", POISON);
+    }
+    assert!(host.refused(site::ms(1000), POISON).is_none());
+    // It is down long after the last of them.
+    assert_eq!(host.down(site::ms(9000), "engine-1"), 0);
+}
--- a/sequoiacrank-kernel/tests/edge/main.rs
+++ b/sequoiacrank-kernel/tests/edge/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions on the event-loop data path.
 
+mod crash;
 mod fleet;
 mod members;
 mod moves;
--- a/src/command/edge.rs
+++ b/src/command/edge.rs
@@ -23,7 +23,7 @@
         }
     };
     let failed = |detail: String| exit::Error::Failed(detail);
-    logs::setup(&settings.host).map_err(|err| failed(err.to_string()))?;
+    logs::setup(&settings.host, &settings.log).map_err(|err| failed(err.to_string()))?;
     let again = move || {
         let source = super::read(&file).ok()?;
         edge::parse(&source.file, &source.text).ok()
