--- a/sequoiacrank-edge/src/facts.rs
+++ b/sequoiacrank-edge/src/facts.rs
@@ -54,6 +54,11 @@
 }
 
 impl Facts {
+    /// Nothing is known; `draw` is drawn evenly from all values.
+    pub fn drawn(draw: u64) -> Self {
+        Facts { fleet: fleet::Fleet::drawn(draw), ..Facts::default() }
+    }
+
     /// Records of a topic.
     pub fn records(&self, topic: store::Topic) -> &records::Records<Bytes> {
         match topic {
@@ -134,7 +139,7 @@
                 .collect();
             let names = out.iter().cloned().collect::<Vec<_>>().join(",");
             log::info!(target: "operators", zones = names.as_str(), offset = self.operators.end(); "zones out");
-            self.fleet.take_out(out);
+            self.fleet.take_out(now, out);
         }
         !changed.is_empty()
     }
@@ -185,7 +190,7 @@
                     let same = self.fleet.get(id).is_some_and(|it| it.is_same(&entry));
                     let leaving = entry.leaving;
                     let service = entry.service.clone();
-                    let started = self.fleet.register(entry);
+                    let started = self.fleet.register(now, entry);
                     if started {
                         self.crashes.down(now, id);
                     }
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -8,6 +8,7 @@
 use sequoiacrank_adapter::store as topics;
 use sequoiacrank_config::edge;
 use sequoiacrank_kernel::edge::members;
+use sequoiacrank_kernel::edge::pace;
 use sequoiacrank_kernel::id;
 use sequoiacrank_kernel::map;
 use sequoiacrank_kernel::message;
@@ -30,6 +31,9 @@
 
 /// Time between two looks at the settings, which may change without a signal.
 const RELOAD: time::Duration = time::Duration::from_secs(5);
+/// Requests a second from one host to one endpoint that is not cold. Many hosts that each keep to a share of
+/// a cold endpoint's rate would send sessions elsewhere that come twice in a second.
+const WARM: f64 = 4.0;
 /// Why settings are read without a signal; logged only if they changed.
 const QUIET: &str = "time";
 /// Time between two looks at what only time changes.
@@ -101,7 +105,7 @@
             clock,
             process: rand::random(),
             pool: client::Pool::new(clock),
-            facts: cell::RefCell::default(),
+            facts: cell::RefCell::new(facts::Facts::drawn(rand::random())),
             batcher: batcher::Batcher::default(),
             stages: stages::Stages::default(),
             peers: peer::Peers::default(),
@@ -244,12 +248,12 @@
         self.learn(topic, page, false, at);
     }
 
-    /// Requests that one host may send to an endpoint of a service in a second, if that is bounded.
-    pub fn rate(&self, cold_rate: f64) -> Option<usize> {
+    /// Requests that this host may send to an endpoint of a service in a second, if that is bounded.
+    pub fn rate(&self, cold_rate: f64) -> Option<pace::Rate> {
         let cold = self.tuning.borrow().cold;
         let hosts = self.peers.members().count(self.clock.now()) as f64;
         let bound = cold_rate * cold.overshoot + cold.slack;
-        (cold_rate > 0.0).then(|| (bound / hosts).floor().max(1.0) as usize)
+        (cold_rate > 0.0).then_some(pace::Rate { cold: bound / hosts, warm: WARM })
     }
 }
 
--- a/sequoiacrank-kernel/src/edge/fleet.rs
+++ b/sequoiacrank-kernel/src/edge/fleet.rs
@@ -31,6 +31,10 @@
 /// Time within which a second broken connection shows that an endpoint crashed. One alone may be a lost
 /// answer, and its sessions would be read again elsewhere; the next connection tells at once.
 const DOUBT: time::Duration = time::Duration::from_secs(1);
+/// Part of a share of less than one request a second that a host uses: hosts draw their turns apart.
+const FEW_PART: f64 = 0.8;
+/// Time after which an endpoint that is new, or whose zone came back, has said whether it is cold.
+const NEW: time::Duration = time::Duration::from_secs(5);
 /// Requests of a session's endpoint beyond the mean of all from which on another one takes the session.
 const CROWD: usize = 6;
 
@@ -57,6 +61,11 @@
 #[derive(Clone, Debug)]
 struct Member {
     entry: endpoint::Endpoint,
+    /// Part of the time between two requests to it while it is cold that passes before the first one, if
+    /// that is over a second. Hosts draw it, so that they do not all send their first ones at once.
+    turn: f64,
+    /// When it was first known, or its availability zone came back into service.
+    since: id::Time,
     /// Calls of this host that have not ended, by their start, with whether they were answered.
     calls: map::FastMap<u64, (id::Time, bool)>,
     /// Share of failures among its last answers, as of the last one.
@@ -88,6 +97,21 @@
         self.failing * libm::exp(-age)
     }
 
+    /// Whether it may get one more request.
+    fn bears(&self, now: id::Time, rate: &pace::Rate) -> bool {
+        let cold = !self.entry.cold.is_zero() || now < self.since + NEW;
+        match cold {
+            false => self.pace.allows(now, rate.warm.max(rate.cold)),
+            true if rate.cold >= 1.0 => self.pace.allows(now, rate.cold),
+            true => {
+                let rate = rate.cold * FEW_PART;
+                let first = self.pace.last().is_none_or(|at| at < self.since);
+                let turn = self.since + pace::gap(rate).mul_f64(self.turn);
+                (!first || now >= turn) && self.pace.allows(now, rate)
+            }
+        }
+    }
+
     /// Order of preference; lower is better.
     fn grade(&self, now: id::Time) -> u8 {
         match () {
@@ -110,7 +134,7 @@
     /// Availability zone that is preferred among equals.
     pub zone: Option<&'a str>,
     /// Requests that an endpoint may get from this host in a second; `None` means any number.
-    pub rate: Option<usize>,
+    pub rate: Option<pace::Rate>,
     /// Versions to which it may go; `None` means any.
     pub side: Option<moves::Side>,
 }
@@ -121,14 +145,21 @@
     members: collections::BTreeMap<id::EndpointId, Member>,
     out: map::FastSet<id::ZoneId>,
     next: u64,
+    /// Drawn by each host.
+    draw: u64,
 }
 
 /// A call that was begun; names it when it ends.
 pub type Call = u64;
 
 impl Fleet {
+    /// No endpoints; `draw` is drawn evenly from all values.
+    pub fn drawn(draw: u64) -> Self {
+        Fleet { draw, ..Fleet::default() }
+    }
+
     /// Takes over a registration. Returns whether the endpoint is new or started again.
-    pub fn register(&mut self, entry: endpoint::Endpoint) -> bool {
+    pub fn register(&mut self, now: id::Time, entry: endpoint::Endpoint) -> bool {
         match self.members.get_mut(&entry.id) {
             Some(member) if member.entry.born == entry.born => {
                 member.entry = entry;
@@ -137,6 +168,8 @@
             _ => {
                 let member = Member {
                     entry: entry.clone(),
+                    turn: rank(self.draw, &entry.id) as f64 / u64::MAX as f64,
+                    since: now,
                     calls: map::FastMap::default(),
                     failing: 0.0,
                     judged: id::Time::ZERO,
@@ -158,8 +191,14 @@
     }
 
     /// Sets the availability zones to which nothing may be sent.
-    pub fn take_out(&mut self, zones: map::FastSet<id::ZoneId>) {
-        self.out = zones;
+    pub fn take_out(&mut self, now: id::Time, zones: map::FastSet<id::ZoneId>) {
+        let old = std::mem::replace(&mut self.out, zones);
+        for member in self.members.values_mut() {
+            let zone = &member.entry.zone;
+            if old.contains(zone) && !self.out.contains(zone) {
+                member.since = now;
+            }
+        }
     }
 
     /// The registration of an endpoint.
@@ -194,7 +233,7 @@
             .open()
             .filter(|member| member.entry.service == service)
             .filter(|member| !want.avoid.contains(&member.entry.id))
-            .filter(|member| want.rate.is_none_or(|rate| member.pace.allows(now, rate)))
+            .filter(|member| want.rate.is_none_or(|rate| member.bears(now, &rate)))
             .collect();
         let all = match &want.side {
             Some(side) => on_side(all, side),
--- a/sequoiacrank-kernel/src/edge/pace.rs
+++ b/sequoiacrank-kernel/src/edge/pace.rs
@@ -12,6 +12,20 @@
 /// covers requests that left in one second and arrived in the next.
 const SPAN: time::Duration = time::Duration::from_millis(1100);
 
+/// Requests that one host may send to one endpoint in a second.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rate {
+    /// To one that may be cold: a share of what it bears.
+    pub cold: f64,
+    /// To any other. It may turn cold without a word, but then gets no more than usual from all hosts.
+    pub warm: f64,
+}
+
+/// Time between two for a bound of less than one in a second.
+pub fn gap(most: f64) -> time::Duration {
+    SPAN.div_f64(most)
+}
+
 /// Times at which something was done within the last [`SPAN`].
 #[derive(Clone, Debug, Default)]
 pub struct Pace {
@@ -19,9 +33,18 @@
 }
 
 impl Pace {
-    /// Whether one more stays within `most` in any second.
-    pub fn allows(&self, now: id::Time, most: usize) -> bool {
-        self.recent(now) < most
+    /// Whether one more stays within `most` in any second, which may be less than one.
+    pub fn allows(&self, now: id::Time, most: f64) -> bool {
+        match most {
+            _ if most >= 1.0 => self.recent(now) < most as usize,
+            _ if most > 0.0 => self.done.back().is_none_or(|&at| now >= at + gap(most)),
+            _ => false,
+        }
+    }
+
+    /// When it was done last.
+    pub fn last(&self) -> Option<id::Time> {
+        self.done.back().copied()
     }
 
     /// How often it was done in the last second.
@@ -31,7 +54,7 @@
 
     /// Notes that it was done.
     pub fn note(&mut self, now: id::Time) {
-        while self.done.front().is_some_and(|&at| now >= at + SPAN) {
+        while self.done.len() > 1 && self.done.front().is_some_and(|&at| now >= at + SPAN) {
             self.done.pop_front();
         }
         self.done.push_back(now);
--- a/sequoiacrank-kernel/tests/edge/fleet.rs
+++ b/sequoiacrank-kernel/tests/edge/fleet.rs
@@ -3,12 +3,17 @@
 use std::time;
 
 use sequoiacrank_kernel::edge::fleet;
+use sequoiacrank_kernel::edge::pace;
 
 use crate::site;
 
 const ENDPOINTS: usize = 6;
 
 fn fleet() -> fleet::Fleet {
+    drawn(0)
+}
+
+fn drawn(draw: u64) -> fleet::Fleet {
     let services = vec![site::Service {
         name: "engine",
         zones: [2, 2, 2],
@@ -16,9 +21,9 @@
         piece: site::ms(1),
         memory: 1,
     }];
-    let mut fleet = fleet::Fleet::default();
+    let mut fleet = fleet::Fleet::drawn(draw);
     for entry in site::entries(&site::World { services, ..site::World::default() }) {
-        fleet.register(entry);
+        fleet.register(site::ms(0), entry);
     }
     fleet
 }
@@ -97,3 +102,60 @@
     assert!(failed <= 10, "{failed}");
     assert_eq!(choose(&fleet, site::ms(30_000), session), home);
 }
+
+const HOSTS: usize = 75;
+/// What a cold endpoint bears in a second from all hosts.
+const BORNE: f64 = 38.0;
+
+fn rate() -> pace::Rate {
+    pace::Rate { cold: BORNE / HOSTS as f64, warm: 4.0 }
+}
+
+/// Sends `each` requests a second of sessions through many hosts. Returns the requests that left their
+/// session's endpoint, and the most that one endpoint got in a second, from `from` on.
+fn many_hosts(hosts: &mut [fleet::Fleet], from: u64, seconds: u64, each: u64) -> (u64, usize) {
+    let mut arrivals: std::collections::HashMap<String, Vec<u64>> =
+        std::collections::HashMap::new();
+    let mut away = 0;
+    let mut draw = 9u64;
+    for number in 0..seconds * each {
+        let at = from + number * 1000 / each;
+        let now = site::ms(at);
+        draw = draw.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        let own = (draw >> 33) as usize % HOSTS;
+        let session = (draw >> 20) % 60;
+        let home = choose(&hosts[own], now, session);
+        let host = &mut hosts[own];
+        let want =
+            fleet::Want { session: Some(session), rate: Some(rate()), ..fleet::Want::default() };
+        let Some(entry) = host.choose(now, "engine", &want, 0) else { continue };
+        let id = entry.id.clone();
+        away += u64::from(id != home);
+        let call = host.begin(now, &id);
+        host.answered(now, &id, call);
+        host.end(now, &id, call, fleet::End::Good);
+        arrivals.entry(id).or_default().push(at);
+    }
+    let in_second = |times: &Vec<u64>| {
+        let from = |&at: &u64| times.iter().filter(|&&it| (at..at + 1000).contains(&it)).count();
+        times.iter().map(from).max().unwrap_or_default()
+    };
+    (away, arrivals.values().map(in_second).max().unwrap_or_default())
+}
+
+/// Each endpoint gets 15 requests a second, well below what a cold one bears, but some hosts send two of
+/// them within a second.
+#[test]
+fn sessions_stay_though_many_hosts_share_what_a_cold_endpoint_bears() {
+    let mut hosts: Vec<_> = (0..HOSTS as u64).map(drawn).collect();
+    let (away, _) = many_hosts(&mut hosts, 10_000, 20, 90);
+    assert!(away * 100 < 20 * 90, "{away}");
+}
+
+/// All endpoints are new, and more requests come than they bear.
+#[test]
+fn new_endpoints_get_no_more_than_cold_ones_bear_from_all_hosts() {
+    let mut hosts: Vec<_> = (0..HOSTS as u64).map(drawn).collect();
+    let (_, most) = many_hosts(&mut hosts, 0, 4, 600);
+    assert!(most as f64 <= BORNE, "{most}");
+}
--- a/sequoiacrank-kernel/tests/edge/parts.rs
+++ b/sequoiacrank-kernel/tests/edge/parts.rs
@@ -80,7 +80,7 @@
     let mut sent = Vec::new();
     for tick in 0..400 {
         let now = site::ms(tick * 10);
-        if pace.allows(now, 5) {
+        if pace.allows(now, 5.0) {
             pace.note(now);
             sent.push(now);
         }
