--- /dev/null
+++ b/sequoiacrank-edge/src/exchange/admission.rs
@@ -0,0 +1,119 @@
+//! What callers may ask for, from the head and body of a request.
+
+use std::cell;
+use std::rc;
+use std::time;
+
+use bytes::Bytes;
+use hyper::body;
+use sequoiacrank_adapter::call;
+use sequoiacrank_adapter::ingress;
+use sequoiacrank_kernel::code;
+use sequoiacrank_kernel::edge::budget;
+use sequoiacrank_kernel::id;
+
+use crate::exchange;
+use crate::front;
+use crate::host;
+use crate::refusal;
+use crate::stop;
+
+/// Time that a body may take to arrive.
+const BODY: time::Duration = time::Duration::from_secs(5);
+/// Reads a request and finds out whether, and to what, it is allowed.
+pub async fn admit(
+    host: &rc::Rc<host::Host>,
+    parts: http::request::Parts,
+    body: body::Incoming,
+) -> Result<exchange::Exchange, refusal::Refusal> {
+    let began = host.clock.now();
+    let running = stop::Stop::running(host);
+    let refuse = |refusal: refusal::Refusal, id: &str| {
+        let number = refusal.code.number();
+        host.metrics.requests.with_label_values(&["", &number.to_string()]).inc();
+        log::warn!(target: "request", id, code = number, path = parts.uri.path(); "refused");
+        refusal
+    };
+    let head = match ingress::Head::decode(&parts) {
+        Ok(head) => head,
+        Err(_) => return Err(refuse(refusal::Refusal::new(code::Code::BadRequest), "")),
+    };
+    let id = head.attempt.clone();
+    if host.stop.is_closing() {
+        // What begins this late may not end before the process does.
+        return Err(refuse(refusal::Refusal::soon(code::Code::NotReady), &id));
+    }
+    let catalog = host.facts.borrow().catalog.clone();
+    let Some(catalog) = catalog else {
+        return Err(refuse(refusal::Refusal::soon(code::Code::NotReady), &id));
+    };
+    let Some(route) = catalog.route(&head.hostname, &head.path).cloned() else {
+        return Err(refuse(refusal::Refusal::new(code::Code::NoMatch), &id));
+    };
+    let workspace = head.key.as_deref().and_then(|key| catalog.workspace(key)).cloned();
+    if workspace.is_none() && !route.exempt {
+        return Err(refuse(refusal::Refusal::new(code::Code::NoKey), &id));
+    }
+    let Some(service) = route.service(rand::random()).cloned() else {
+        return Err(refuse(refusal::Refusal::soon(code::Code::NoEndpoint), &id));
+    };
+    let whole = tokio::time::timeout(BODY, front::read(body, catalog.limits.body)).await;
+    let body = match whole {
+        Ok(Ok(Some(body))) => body,
+        Ok(Ok(None)) => return Err(refuse(refusal::Refusal::new(code::Code::TooLarge), &id)),
+        // The caller broke off or is too slow; nothing was sent.
+        Ok(Err(_)) | Err(_) => {
+            return Err(refuse(refusal::Refusal::new(code::Code::BodyLate), &id));
+        }
+    };
+    let fingerprint = fingerprint(&parts, head.key.as_deref(), &body);
+    let crashes = host.facts.borrow().crashes.refused(host.clock.now(), fingerprint);
+    if let Some(crashes) = crashes {
+        log::warn!(target: "request", id = id.as_str(), crashes, fingerprint; "suspect");
+        return Err(refuse(refusal::Refusal::new(code::Code::Suspect), &id));
+    }
+    let session = {
+        let mut facts = host.facts.borrow_mut();
+        let budget = facts.budgets.entry(service.clone()).or_default();
+        budget.request(host.clock.now(), &host.bound());
+        route.affinity.then(|| facts.sessions.key(&route.name, &head.parts)).flatten()
+    };
+    let budget = head.budget.map_or(route.timeout, |budget| budget.min(route.timeout));
+    Ok(exchange::Exchange {
+        host: host.clone(),
+        passed: call::passed_on(&parts.headers),
+        method: parts.method,
+        uri: parts.uri,
+        deadline: began + budget,
+        aim: began + route.target,
+        rank: catalog.rank(&route, workspace.as_deref()),
+        version: catalog.version,
+        session,
+        head,
+        route,
+        service,
+        workspace,
+        body,
+        fingerprint,
+        began,
+        results: cell::RefCell::new(None),
+        tried: cell::RefCell::default(),
+        sends: cell::Cell::new(0),
+        ran: cell::Cell::new(false),
+        _running: running,
+    })
+}
+
+/// Hash of what a caller asks for: the same for each attempt of one request.
+fn fingerprint(parts: &http::request::Parts, key: Option<&str>, body: &Bytes) -> id::Fingerprint {
+    let head = format!("{} {} {}", parts.method, parts.uri, key.unwrap_or_default());
+    xxhash_rust::xxh3::xxh3_64_with_seed(body, xxhash_rust::xxh3::xxh3_64(head.as_bytes()))
+}
+
+impl host::Host {
+    /// The bound on repeats of all hosts together.
+    pub(super) fn bound(&self) -> budget::Bound {
+        let retries = self.tuning.borrow().retries;
+        budget::Bound { ratio: retries.ratio, slack: retries.slack, span: retries.span }
+    }
+}
--- a/sequoiacrank-edge/src/exchange.rs
+++ b/sequoiacrank-edge/src/exchange/mod.rs
@@ -1,7 +1,9 @@
 //! One request of a caller, from its head to its answer.
 
+mod admission;
+mod send;
+
 use std::cell;
-use std::io;
 use std::rc;
 use std::sync;
 use std::time;
@@ -12,7 +14,6 @@
 use sequoiacrank_adapter::ingress;
 use sequoiacrank_adapter::store;
 use sequoiacrank_kernel::code;
-use sequoiacrank_kernel::edge::budget;
 use sequoiacrank_kernel::edge::catalog;
 use sequoiacrank_kernel::edge::fleet;
 use sequoiacrank_kernel::edge::moves;
@@ -32,8 +33,6 @@
 
 /// Status that says that a request did not run.
 const NOT_RUN: u16 = 503;
-/// Time that a body may take to arrive.
-const BODY: time::Duration = time::Duration::from_secs(5);
 /// Least time left that makes a send worth it.
 const LEAST: time::Duration = time::Duration::from_millis(10);
 /// Time that a request usually needs behind its stages, before any was seen.
@@ -42,9 +41,6 @@
 const TAIL_WEIGHT: u32 = 8;
 /// Endpoints that may be tried beyond the attempts of the route, as long as none was reached.
 const UNREACHED: usize = 4;
-/// Largest part of the target after which a repeatable request is taken to another endpoint if no answer
-/// has begun. A stream's first event may wait for its prompt to be read, a plain answer may not.
-const PATIENCE: (f64, f64) = (1.0, 0.6);
 
 /// A request that was admitted.
 pub struct Exchange {
@@ -99,7 +95,7 @@
     request: http::Request<body::Incoming>,
 ) -> front::Answer {
     let (parts, body) = request.into_parts();
-    let mut answer = match admit(host, parts, body).await {
+    let mut answer = match admission::admit(host, parts, body).await {
         Ok(exchange) => rc::Rc::new(exchange).run().await,
         Err(refusal) => refusal.answer(),
     };
@@ -110,104 +106,6 @@
     answer
 }
 
-/// Reads a request and finds out whether, and to what, it is allowed.
-async fn admit(
-    host: &rc::Rc<host::Host>,
-    parts: http::request::Parts,
-    body: body::Incoming,
-) -> Result<Exchange, refusal::Refusal> {
-    let began = host.clock.now();
-    let running = stop::Stop::running(host);
-    let refuse = |refusal: refusal::Refusal, id: &str| {
-        let number = refusal.code.number();
-        host.metrics.requests.with_label_values(&["", &number.to_string()]).inc();
-        log::warn!(target: "request", id, code = number, path = parts.uri.path(); "refused");
-        refusal
-    };
-    let head = match ingress::Head::decode(&parts) {
-        Ok(head) => head,
-        Err(_) => return Err(refuse(refusal::Refusal::new(code::Code::BadRequest), "")),
-    };
-    let id = head.attempt.clone();
-    if host.stop.is_closing() {
-        // What begins this late may not end before the process does.
-        return Err(refuse(refusal::Refusal::soon(code::Code::NotReady), &id));
-    }
-    let catalog = host.facts.borrow().catalog.clone();
-    let Some(catalog) = catalog else {
-        return Err(refuse(refusal::Refusal::soon(code::Code::NotReady), &id));
-    };
-    let Some(route) = catalog.route(&head.hostname, &head.path).cloned() else {
-        return Err(refuse(refusal::Refusal::new(code::Code::NoMatch), &id));
-    };
-    let workspace = head.key.as_deref().and_then(|key| catalog.workspace(key)).cloned();
-    if workspace.is_none() && !route.exempt {
-        return Err(refuse(refusal::Refusal::new(code::Code::NoKey), &id));
-    }
-    let Some(service) = route.service(rand::random()).cloned() else {
-        return Err(refuse(refusal::Refusal::soon(code::Code::NoEndpoint), &id));
-    };
-    let whole = tokio::time::timeout(BODY, front::read(body, catalog.limits.body)).await;
-    let body = match whole {
-        Ok(Ok(Some(body))) => body,
-        Ok(Ok(None)) => return Err(refuse(refusal::Refusal::new(code::Code::TooLarge), &id)),
-        // The caller broke off or is too slow; nothing was sent.
-        Ok(Err(_)) | Err(_) => {
-            return Err(refuse(refusal::Refusal::new(code::Code::BodyLate), &id));
-        }
-    };
-    let fingerprint = fingerprint(&parts, head.key.as_deref(), &body);
-    let crashes = host.facts.borrow().crashes.refused(host.clock.now(), fingerprint);
-    if let Some(crashes) = crashes {
-        log::warn!(target: "request", id = id.as_str(), crashes, fingerprint; "suspect");
-        return Err(refuse(refusal::Refusal::new(code::Code::Suspect), &id));
-    }
-    let session = {
-        let mut facts = host.facts.borrow_mut();
-        let budget = facts.budgets.entry(service.clone()).or_default();
-        budget.request(host.clock.now(), &host.bound());
-        route.affinity.then(|| facts.sessions.key(&route.name, &head.parts)).flatten()
-    };
-    let budget = head.budget.map_or(route.timeout, |budget| budget.min(route.timeout));
-    Ok(Exchange {
-        host: host.clone(),
-        passed: call::passed_on(&parts.headers),
-        method: parts.method,
-        uri: parts.uri,
-        deadline: began + budget,
-        aim: began + route.target,
-        rank: catalog.rank(&route, workspace.as_deref()),
-        version: catalog.version,
-        session,
-        head,
-        route,
-        service,
-        workspace,
-        body,
-        fingerprint,
-        began,
-        results: cell::RefCell::new(None),
-        tried: cell::RefCell::default(),
-        sends: cell::Cell::new(0),
-        ran: cell::Cell::new(false),
-        _running: running,
-    })
-}
-
-/// Hash of what a caller asks for: the same for each attempt of one request.
-fn fingerprint(parts: &http::request::Parts, key: Option<&str>, body: &Bytes) -> id::Fingerprint {
-    let head = format!("{} {} {}", parts.method, parts.uri, key.unwrap_or_default());
-    xxhash_rust::xxh3::xxh3_64_with_seed(body, xxhash_rust::xxh3::xxh3_64(head.as_bytes()))
-}
-
-impl host::Host {
-    /// The bound on repeats of all hosts together.
-    fn bound(&self) -> budget::Bound {
-        let retries = self.tuning.borrow().retries;
-        budget::Bound { ratio: retries.ratio, slack: retries.slack, span: retries.span }
-    }
-}
-
 impl Exchange {
     /// Time until the deadline.
     pub fn left(&self) -> time::Duration {
@@ -401,144 +299,6 @@
         }
     }
 
-    fn is_failure(&self, upstream: &Upstream) -> bool {
-        upstream.head.status.is_server_error()
-    }
-
-    /// Time to wait for the first byte of an answer.
-    fn patience(&self) -> time::Duration {
-        let part = match self.route.kind {
-            catalog::Kind::Stream => PATIENCE.1,
-            _ => PATIENCE.0,
-        };
-        match self.may_repeat() {
-            true => self.route.target.mul_f64(part).min(self.left()),
-            false => self.left(),
-        }
-    }
-
-    /// Sends the request to an endpoint and waits for the head of its answer.
-    pub async fn send(
-        &self,
-        endpoint: &str,
-        address: std::net::SocketAddr,
-        resume: Option<u64>,
-    ) -> Result<Upstream, Miss> {
-        let host = &self.host;
-        let mut flight = flight::Flight::begin(host, endpoint);
-        let connection = match self.route.repeatable() {
-            true => host.pool.connection(address).await,
-            false => host.pool.fresh(address).await,
-        };
-        let mut connection = match connection {
-            Ok(connection) => connection,
-            Err(err) => return Err(self.missed(flight, &err)),
-        };
-        self.sends.set(self.sends.get() + 1);
-        flight.sent(&self.route.name);
-        let patience = self.patience();
-        let session = self.session.map(|session| format!("{session:016x}"));
-        log::info!(target: "request", id = self.head.attempt.as_str(), endpoint, session, version = self.version, known = self.known(), left = host::millis(self.left()), patience = host::millis(patience), flight = host.facts.borrow().fleet.flight(endpoint); "sent");
-        let sent = connection.send(self.order(endpoint, resume));
-        let mut answer =
-            tokio::time::timeout(patience, sent).await.unwrap_or(Err(client::Error::Time));
-        if answer.as_ref().is_err_and(client::Error::is_unsent) && connection.is_used() {
-            // The connection had been closed while it was idle.
-            connection = match host.pool.fresh(address).await {
-                Ok(connection) => connection,
-                Err(err) => {
-                    self.sends.set(self.sends.get() - 1);
-                    return Err(self.missed(flight, &err));
-                }
-            };
-            let sent = connection.send(self.order(endpoint, resume));
-            answer = tokio::time::timeout(patience, sent).await.unwrap_or(Err(client::Error::Time));
-        }
-        let answer = match answer {
-            Ok(answer) => answer,
-            Err(err) => return Err(self.missed(flight, &err)),
-        };
-        flight.answered();
-        let (head, body) = answer.into_parts();
-        let marks = call::Answer::decode(head.status, &head.headers, &self.head.attempt);
-        let id = self.head.attempt.as_str();
-        let status = head.status.as_u16();
-        let took = host::millis(host.clock.now().saturating_sub(self.began));
-        match marks {
-            call::Answer { refused: true, moved, .. } => {
-                log::warn!(target: "request", id, endpoint, status, took; "endpoint refused");
-                flight.end(if moved { fleet::End::Other } else { fleet::End::Full });
-                Err(Miss::Refused(head.status))
-            }
-            call::Answer { ours: false, .. } => {
-                log::warn!(target: "request", id, endpoint, status, took; "answer to another request");
-                flight.end(fleet::End::Bad);
-                Err(Miss::Lost(code::Code::BadAnswer))
-            }
-            marks => Ok(Upstream { connection, head, body, flight, marks }),
-        }
-    }
-
-    fn missed(&self, flight: flight::Flight, err: &client::Error) -> Miss {
-        let id = self.head.attempt.as_str();
-        let reason = err.to_string();
-        let took = host::millis(self.host.clock.now().saturating_sub(self.began));
-        log::warn!(target: "request", id, endpoint = flight.endpoint.as_str(), took, reason = reason.as_str(); "send failed");
-        let (end, miss) = match err {
-            client::Error::Connect(_) => (fleet::End::Lost, Miss::Unsent),
-            client::Error::Time if self.left() < LEAST => {
-                (fleet::End::Bad, Miss::Lost(code::Code::Deadline))
-            }
-            client::Error::Time => (fleet::End::Lost, Miss::Lost(code::Code::StageFailed)),
-            client::Error::Broken(_) | client::Error::Large => {
-                (fleet::End::Broken, Miss::Lost(code::Code::OutcomeLost))
-            }
-        };
-        self.note_crash(&flight.endpoint, end, err);
-        flight.end(end);
-        miss
-    }
-
-    /// Notes what the end of a send says of the request and of its endpoint.
-    fn note_crash(&self, endpoint: &str, end: fleet::End, err: &client::Error) {
-        let now = self.host.clock.now();
-        match err {
-            client::Error::Connect(err) if err.kind() == io::ErrorKind::ConnectionRefused => {
-                let requests = self.host.facts.borrow_mut().crashes.down(now, endpoint);
-                if requests > 0 {
-                    log::info!(target: "endpoints", endpoint, requests; "crashed");
-                }
-            }
-            _ if end == fleet::End::Broken => self.broke(endpoint),
-            _ => {}
-        }
-    }
-
-    /// Notes that a connection broke while an endpoint ran the request.
-    pub fn broke(&self, endpoint: &str) {
-        let now = self.host.clock.now();
-        self.host.facts.borrow_mut().crashes.broke(now, endpoint, self.fingerprint);
-    }
-
-    fn order(&self, endpoint: &str, resume: Option<u64>) -> http::Request<Bytes> {
-        let results = self.results.borrow();
-        let workspace = self.workspace.as_ref().and_then(|it| it.rank);
-        let urgency = workspace.unwrap_or(self.route.rank);
-        let order = call::Order {
-            endpoint,
-            workspace: self.workspace.as_ref().map(|workspace| workspace.name.as_str()),
-            budget: self.left(),
-            results: results.as_ref().map_or(&[], |results| &results.handles),
-            urgency: self.route.affinity.then_some(urgency),
-            resume,
-        };
-        let mut request = http::Request::new(self.body.clone());
-        *request.method_mut() = self.method.clone();
-        *request.uri_mut() = self.uri.clone();
-        *request.headers_mut() = call::headers(&self.passed, &order);
-        request
-    }
-
     /// The endpoint for the continuation of a stream, and its answer.
     pub async fn resume(&self, last: u64) -> Result<Upstream, Miss> {
         if self.results.borrow().is_none() && self.stages().await.is_err() {
--- /dev/null
+++ b/sequoiacrank-edge/src/exchange/send.rs
@@ -0,0 +1,162 @@
+//! One send of a request to an endpoint, up to the head of its answer.
+
+use std::io;
+use std::net;
+use std::time;
+
+use bytes::Bytes;
+use sequoiacrank_adapter::call;
+use sequoiacrank_kernel::code;
+use sequoiacrank_kernel::edge::catalog;
+use sequoiacrank_kernel::edge::fleet;
+
+use crate::client;
+use crate::exchange;
+use crate::flight;
+use crate::host;
+
+/// Largest part of the target after which a repeatable request is taken to another endpoint if no answer
+/// has begun. A stream's first event may wait for its prompt to be read, a plain answer may not.
+const PATIENCE: (f64, f64) = (1.0, 0.6);
+
+impl exchange::Exchange {
+    pub(super) fn is_failure(&self, upstream: &exchange::Upstream) -> bool {
+        upstream.head.status.is_server_error()
+    }
+
+    /// Time to wait for the first byte of an answer.
+    fn patience(&self) -> time::Duration {
+        let part = match self.route.kind {
+            catalog::Kind::Stream => PATIENCE.1,
+            _ => PATIENCE.0,
+        };
+        match self.may_repeat() {
+            true => self.route.target.mul_f64(part).min(self.left()),
+            false => self.left(),
+        }
+    }
+
+    /// Sends the request to an endpoint and waits for the head of its answer.
+    pub async fn send(
+        &self,
+        endpoint: &str,
+        address: net::SocketAddr,
+        resume: Option<u64>,
+    ) -> Result<exchange::Upstream, exchange::Miss> {
+        let host = &self.host;
+        let mut flight = flight::Flight::begin(host, endpoint);
+        let connection = match self.route.repeatable() {
+            true => host.pool.connection(address).await,
+            false => host.pool.fresh(address).await,
+        };
+        let mut connection = match connection {
+            Ok(connection) => connection,
+            Err(err) => return Err(self.missed(flight, &err)),
+        };
+        self.sends.set(self.sends.get() + 1);
+        flight.sent(&self.route.name);
+        let patience = self.patience();
+        let session = self.session.map(|session| format!("{session:016x}"));
+        log::info!(target: "request", id = self.head.attempt.as_str(), endpoint, session, version = self.version, known = self.known(), left = host::millis(self.left()), patience = host::millis(patience), flight = host.facts.borrow().fleet.flight(endpoint); "sent");
+        let sent = connection.send(self.order(endpoint, resume));
+        let mut answer =
+            tokio::time::timeout(patience, sent).await.unwrap_or(Err(client::Error::Time));
+        if answer.as_ref().is_err_and(client::Error::is_unsent) && connection.is_used() {
+            // The connection had been closed while it was idle.
+            connection = match host.pool.fresh(address).await {
+                Ok(connection) => connection,
+                Err(err) => {
+                    self.sends.set(self.sends.get() - 1);
+                    return Err(self.missed(flight, &err));
+                }
+            };
+            let sent = connection.send(self.order(endpoint, resume));
+            answer = tokio::time::timeout(patience, sent).await.unwrap_or(Err(client::Error::Time));
+        }
+        let answer = match answer {
+            Ok(answer) => answer,
+            Err(err) => return Err(self.missed(flight, &err)),
+        };
+        flight.answered();
+        let (head, body) = answer.into_parts();
+        let marks = call::Answer::decode(head.status, &head.headers, &self.head.attempt);
+        let id = self.head.attempt.as_str();
+        let status = head.status.as_u16();
+        let took = host::millis(host.clock.now().saturating_sub(self.began));
+        match marks {
+            call::Answer { refused: true, moved, .. } => {
+                log::warn!(target: "request", id, endpoint, status, took; "endpoint refused");
+                flight.end(if moved { fleet::End::Other } else { fleet::End::Full });
+                Err(exchange::Miss::Refused(head.status))
+            }
+            call::Answer { ours: false, .. } => {
+                log::warn!(target: "request", id, endpoint, status, took; "answer to another request");
+                flight.end(fleet::End::Bad);
+                Err(exchange::Miss::Lost(code::Code::BadAnswer))
+            }
+            marks => Ok(exchange::Upstream { connection, head, body, flight, marks }),
+        }
+    }
+
+    pub(super) fn missed(&self, flight: flight::Flight, err: &client::Error) -> exchange::Miss {
+        let id = self.head.attempt.as_str();
+        let reason = err.to_string();
+        let took = host::millis(self.host.clock.now().saturating_sub(self.began));
+        log::warn!(target: "request", id, endpoint = flight.endpoint.as_str(), took, reason = reason.as_str(); "send failed");
+        let (end, miss) = match err {
+            client::Error::Connect(_) => (fleet::End::Lost, exchange::Miss::Unsent),
+            client::Error::Time if self.left() < exchange::LEAST => {
+                (fleet::End::Bad, exchange::Miss::Lost(code::Code::Deadline))
+            }
+            client::Error::Time => {
+                (fleet::End::Lost, exchange::Miss::Lost(code::Code::StageFailed))
+            }
+            client::Error::Broken(_) | client::Error::Large => {
+                (fleet::End::Broken, exchange::Miss::Lost(code::Code::OutcomeLost))
+            }
+        };
+        self.note_crash(&flight.endpoint, end, err);
+        flight.end(end);
+        miss
+    }
+
+    /// Notes what the end of a send says of the request and of its endpoint.
+    fn note_crash(&self, endpoint: &str, end: fleet::End, err: &client::Error) {
+        let now = self.host.clock.now();
+        match err {
+            client::Error::Connect(err) if err.kind() == io::ErrorKind::ConnectionRefused => {
+                let requests = self.host.facts.borrow_mut().crashes.down(now, endpoint);
+                if requests > 0 {
+                    log::info!(target: "endpoints", endpoint, requests; "crashed");
+                }
+            }
+            _ if end == fleet::End::Broken => self.broke(endpoint),
+            _ => {}
+        }
+    }
+
+    /// Notes that a connection broke while an endpoint ran the request.
+    pub fn broke(&self, endpoint: &str) {
+        let now = self.host.clock.now();
+        self.host.facts.borrow_mut().crashes.broke(now, endpoint, self.fingerprint);
+    }
+
+    fn order(&self, endpoint: &str, resume: Option<u64>) -> http::Request<Bytes> {
+        let results = self.results.borrow();
+        let workspace = self.workspace.as_ref().and_then(|it| it.rank);
+        let urgency = workspace.unwrap_or(self.route.rank);
+        let order = call::Order {
+            endpoint,
+            workspace: self.workspace.as_ref().map(|workspace| workspace.name.as_str()),
+            budget: self.left(),
+            results: results.as_ref().map_or(&[], |results| &results.handles),
+            urgency: self.route.affinity.then_some(urgency),
+            resume,
+        };
+        let mut request = http::Request::new(self.body.clone());
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = call::headers(&self.passed, &order);
+        request
+    }
+}
--- a/sequoiacrank-edge/src/facts.rs
+++ b/sequoiacrank-edge/src/facts.rs
@@ -232,7 +232,7 @@
 
     /// Endpoints to which stage work may go.
     pub fn workers(&self) -> impl Iterator<Item = &endpoint::Endpoint> {
-        self.fleet.usable().filter(|entry| !self.moves.bars(entry))
+        self.fleet.usable().filter(|entry| !self.moves.excludes(entry))
     }
 
     /// The endpoints' records from an offset on that say something new.
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -160,7 +160,7 @@
             heard: pulse.heard,
             process: self.process,
             cpu: self.settings.cpu,
-            moves: self.words().into_iter().map(wire::Move::from).collect(),
+            moves: self.digests().into_iter().map(wire::moves::Move::from).collect(),
             suspects: facts.crashes.digest().into_iter().map(wire::Suspect::from).collect(),
         }
     }
@@ -181,7 +181,7 @@
             let now = self.clock.now();
             self.facts.borrow_mut().crashes.learn(now, &from.to_string(), &suspects);
         }
-        self.take_words(from, &pulse.moves);
+        self.take_digests(from, &pulse.moves);
         self.fetch(from, false, pulse.operators);
         self.fetch(from, true, pulse.endpoints);
     }
--- a/sequoiacrank-edge/src/moves.rs
+++ b/sequoiacrank-edge/src/moves.rs
@@ -25,18 +25,18 @@
     }
 
     /// What this host says of moves.
-    pub fn words(&self) -> Vec<moves::Word> {
+    pub fn digests(&self) -> Vec<moves::Digest> {
         let facts = self.facts.borrow();
         let old = |service: &str, target: &str| facts.fleet.flights_off(service, target);
-        facts.moves.words(self.clock.now(), old)
+        facts.moves.digests(self.clock.now(), old)
     }
 
     /// Takes over what another host says of moves.
-    pub fn take_words(&self, from: net::SocketAddr, words: &[wire::Move]) {
+    pub fn take_digests(&self, from: net::SocketAddr, digests: &[wire::moves::Move]) {
         let now = self.clock.now();
         let mut facts = self.facts.borrow_mut();
-        for word in words {
-            facts.moves.learn(now, from, &moves::Word::from(word));
+        for digest in digests {
+            facts.moves.learn(now, from, &moves::Digest::from(digest));
         }
     }
 }
--- a/sequoiacrank-kernel/src/edge/moves.rs
+++ b/sequoiacrank-kernel/src/edge/moves.rs
@@ -98,7 +98,7 @@
 
 /// What a host says of a move.
 #[derive(Clone, Debug, Default, PartialEq)]
-pub struct Word {
+pub struct Digest {
     /// Service.
     pub service: id::ServiceId,
     /// Place of the order.
@@ -135,8 +135,8 @@
     /// Requests of this host since the order, and those of them that went to the target.
     all: u64,
     new: u64,
-    /// Last word of each other host, and its calls on other versions than the target.
-    words: collections::BTreeMap<net::SocketAddr, (Phase, u32)>,
+    /// Last digest of each other host, and its calls on other versions than the target.
+    digests: collections::BTreeMap<net::SocketAddr, (Phase, u32)>,
     /// What the store says, as far as this host knows.
     written: Option<State>,
 }
@@ -160,7 +160,7 @@
 
     /// What the store should say, given the hosts that live.
     fn due(&self, now: id::Time, own_old: u32, alive: &[net::SocketAddr]) -> State {
-        let gone = |address| self.words.get(address) == Some(&(Phase::Moved, 0));
+        let gone = |address| self.digests.get(address) == Some(&(Phase::Moved, 0));
         match self.phase {
             Phase::TakenBack => State::Reverted,
             Phase::Completed => State::Completed,
@@ -207,7 +207,7 @@
                 compared: id::Time::ZERO,
                 all: 0,
                 new: 0,
-                words: collections::BTreeMap::new(),
+                digests: collections::BTreeMap::new(),
                 written: None,
             };
             self.moves.insert(service.clone(), next);
@@ -228,7 +228,7 @@
 
     /// Whether an endpoint of a service that does stage work gets no work. Calls of stage work hold pieces
     /// of many requests, so that a version is not tried with them.
-    pub fn bars(&self, entry: &endpoint::Endpoint) -> bool {
+    pub fn excludes(&self, entry: &endpoint::Endpoint) -> bool {
         self.moves.get(&entry.service).is_some_and(|it| match it.phase {
             Phase::Waiting | Phase::Trial | Phase::TakenBack => entry.version == it.order.target,
             Phase::Moved | Phase::Completed => entry.version != it.order.target,
@@ -260,11 +260,11 @@
     }
 
     /// What this host says of its moves. `old` counts its calls to a service on other versions.
-    pub fn words<F>(&self, now: id::Time, old: F) -> Vec<Word>
+    pub fn digests<F>(&self, now: id::Time, old: F) -> Vec<Digest>
     where
         F: Fn(&str, &str) -> u32,
     {
-        let words = self.moves.iter().map(|(service, it)| Word {
+        let digests = self.moves.iter().map(|(service, it)| Digest {
             service: service.clone(),
             offset: it.order.offset,
             age: now.saturating_sub(it.began),
@@ -272,21 +272,21 @@
             old: old(service, &it.order.target),
             evidence: it.sides.told(service),
         });
-        words.collect()
+        digests.collect()
     }
 
     /// Takes over what another host says.
-    pub fn learn(&mut self, now: id::Time, from: net::SocketAddr, word: &Word) {
-        let Some(it) = self.moves.get_mut(&word.service) else { return };
-        if it.order.offset != word.offset {
+    pub fn learn(&mut self, now: id::Time, from: net::SocketAddr, digest: &Digest) {
+        let Some(it) = self.moves.get_mut(&digest.service) else { return };
+        if it.order.offset != digest.offset {
             return;
         }
-        it.began = it.began.min(now.saturating_sub(word.age));
-        it.words.insert(from, (word.phase, word.old));
-        for told in &word.evidence {
+        it.began = it.began.min(now.saturating_sub(digest.age));
+        it.digests.insert(from, (digest.phase, digest.old));
+        for told in &digest.evidence {
             it.sides.learn(&from.to_string(), told);
         }
-        self.reach(&word.service, word.phase, "told by another host");
+        self.reach(&digest.service, digest.phase, "told by another host");
     }
 
     /// Takes over what the store says, which goes before all else.
@@ -306,7 +306,8 @@
 
     fn reach(&mut self, service: &str, phase: Phase, why: &str) {
         let Some(it) = self.moves.get_mut(service) else { return };
-        let ordered = phase == Phase::Waiting && it.phase == Phase::Waiting && it.words.is_empty();
+        let ordered =
+            phase == Phase::Waiting && it.phase == Phase::Waiting && it.digests.is_empty();
         if phase > it.phase || ordered {
             it.phase = phase;
             let (service, target) = (service.to_owned(), it.order.target.clone());
--- a/sequoiacrank-kernel/tests/edge/fleet.rs
+++ b/sequoiacrank-kernel/tests/edge/fleet.rs
@@ -4,6 +4,7 @@
 
 use sequoiacrank_kernel::edge::fleet;
 use sequoiacrank_kernel::edge::pace;
+use sequoiacrank_kernel::map;
 
 use crate::site;
 
@@ -114,8 +115,7 @@
 /// Sends `each` requests a second of sessions through many hosts. Returns the requests that left their
 /// session's endpoint, and the most that one endpoint got in a second, from `from` on.
 fn many_hosts(hosts: &mut [fleet::Fleet], from: u64, seconds: u64, each: u64) -> (u64, usize) {
-    let mut arrivals: std::collections::HashMap<String, Vec<u64>> =
-        std::collections::HashMap::new();
+    let mut arrivals: map::FastMap<String, Vec<u64>> = map::FastMap::default();
     let mut away = 0;
     let mut draw = 9u64;
     for number in 0..seconds * each {
--- a/sequoiacrank-kernel/tests/edge/moves.rs
+++ b/sequoiacrank-kernel/tests/edge/moves.rs
@@ -113,11 +113,12 @@
                 }
             }
             if tick % 400 == 0 {
-                let words: Vec<_> = self.hosts.iter().map(|it| it.words(now, |_, _| 0)).collect();
-                for (from, words) in words.iter().enumerate() {
+                let digests: Vec<_> =
+                    self.hosts.iter().map(|it| it.digests(now, |_, _| 0)).collect();
+                for (from, digests) in digests.iter().enumerate() {
                     for (_, host) in self.hosts.iter_mut().enumerate().filter(|(to, _)| *to != from)
                     {
-                        words.iter().for_each(|word| host.learn(now, address(from), word));
+                        digests.iter().for_each(|digest| host.learn(now, address(from), digest));
                     }
                 }
             }
@@ -202,13 +203,13 @@
 fn a_new_process_sends_nothing_to_the_target_before_it_knows() {
     let mut world = World::new(Version { fails: 1.0, ..GOOD }, 9);
     world.run(time::Duration::from_secs(10));
-    let word = world.hosts[0].words(site::ms(10_000), |_, _| 0).remove(0);
+    let digest = world.hosts[0].digests(site::ms(10_000), |_, _| 0).remove(0);
     let mut new = moves::Moves::default();
     let order = moves::Order { target: "v2".into(), time: TIME, offset: 3 };
     new.order(site::ms(50), [("desk".to_owned(), order)].into_iter().collect());
     let side = |host: &moves::Moves| host.side("desk", HOSTS, &BOUND, 0.0).expect("a side");
     assert!(!side(&new).new && !side(&new).strict);
-    new.learn(site::ms(60), address(0), &word);
+    new.learn(site::ms(60), address(0), &digest);
     assert!(!side(&new).new && side(&new).strict);
     // What the store says goes before: the old version has gone.
     new.stored("desk", "v2", moves::State::Completed);
@@ -224,13 +225,13 @@
     let order = moves::Order { target: "v2".into(), time: TIME, offset: 3 };
     host.order(site::ms(0), [("desk".to_owned(), order)].into_iter().collect());
     host.stored("desk", "v2", moves::State::Active);
-    let mut word = world.hosts[1].words(site::ms(25_000), |_, _| 1).remove(0);
-    word.phase = moves::Phase::Moved;
-    host.learn(site::ms(25_000), address(1), &word);
+    let mut digest = world.hosts[1].digests(site::ms(25_000), |_, _| 1).remove(0);
+    digest.phase = moves::Phase::Moved;
+    host.learn(site::ms(25_000), address(1), &digest);
     let due = |host: &moves::Moves, at: u64| host.due(site::ms(at), |_, _| 0, &[address(1)]);
     assert_eq!(due(&host, 25_000), []);
     assert_eq!(due(&host, 28_000)[0].state, moves::State::Completed);
-    word.old = 0;
-    host.learn(site::ms(25_400), address(1), &word);
+    digest.old = 0;
+    host.learn(site::ms(25_400), address(1), &digest);
     assert_eq!(due(&host, 25_400)[0].state, moves::State::Completed);
 }
