--- a/tests/docs.rs
+++ b/tests/docs.rs
@@ -1,6 +1,7 @@
 //! What the pages show is what the program takes.
 
 use std::fs;
+use std::path;
 
 use sequoiacrank_config::declare;
 use sequoiacrank_config::settings;
@@ -30,18 +31,22 @@
     assert!(words(&example).contains(&shown), "{shown}");
 }
 
+/// All files of a folder and of those in it.
+fn sources(folder: &path::Path) -> String {
+    let paths = fs::read_dir(folder).unwrap().map(|entry| entry.unwrap().path());
+    let text = |path: path::PathBuf| match path.is_dir() {
+        true => sources(&path),
+        false => fs::read_to_string(path).unwrap(),
+    };
+    paths.map(text).collect()
+}
+
 /// The page for operators names log fields and events; each stands in the code that writes them.
 #[test]
 fn the_log_fields_of_the_operators_page_are_written() {
     let page = fs::read_to_string("docs/OPERATIONS.md").unwrap();
     let part = page.split("### Explaining a failed request").nth(1).unwrap();
-    let mut code = String::new();
-    for entry in fs::read_dir("sequoiacrank-edge/src").unwrap() {
-        let path = entry.unwrap().path();
-        if path.is_file() {
-            code += &fs::read_to_string(path).unwrap();
-        }
-    }
+    let code = sources(path::Path::new("sequoiacrank-edge/src"));
     let lines = part.lines().filter(|line| line.trim_start().starts_with('+'));
     let mut checked = 0;
     for line in lines {
