--- a/sequoiacrank-edge/src/exchange/admission.rs
+++ b/sequoiacrank-edge/src/exchange/admission.rs
@@ -20,6 +20,7 @@
 
 /// Time that a body may take to arrive.
 const BODY: time::Duration = time::Duration::from_secs(5);
+
 /// Reads a request and finds out whether, and to what, it is allowed.
 pub async fn admit(
     host: &rc::Rc<host::Host>,
