--- a/sequoiacrank-config/src/edge.rs
+++ b/sequoiacrank-config/src/edge.rs
@@ -3,6 +3,9 @@
 use std::net;
 use std::time;
 
+use sequoiacrank_kernel::edge::budget;
+use sequoiacrank_kernel::edge::moves;
+
 use crate::problem;
 use crate::read;
 use crate::tree;
@@ -31,11 +34,11 @@
     /// Time from SIGTERM to SIGKILL.
     pub grace: time::Duration,
     /// Requests that are sent once more; all hosts together.
-    pub retries: Retries,
+    pub retries: budget::Bound,
     /// Requests that a cold endpoint gets; all hosts together.
     pub cold: Cold,
     /// Requests that a version on trial gets; all hosts together.
-    pub moves: Moves,
+    pub moves: moves::Bound,
     /// What is logged.
     pub log: Log,
 }
@@ -49,26 +52,6 @@
     pub lines: u32,
 }
 
-/// Bound on the requests that a new version gets before it is judged.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Moves {
-    /// Share of the requests for its service.
-    pub share: f64,
-    /// Requests beyond that.
-    pub slack: f64,
-}
-
-/// Bound on requests that are sent once more.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Retries {
-    /// Repeats for each request.
-    pub ratio: f64,
-    /// Repeats beyond that.
-    pub slack: f64,
-    /// Span over which they are counted.
-    pub span: time::Duration,
-}
-
 /// Bound on requests that a cold endpoint gets in a second.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Cold {
@@ -94,7 +77,7 @@
     }
 }
 
-impl read::Decode for Retries {
+impl read::Decode for budget::Bound {
     fn decode(node: &tree::Node, sink: &mut read::Sink) -> Option<Self> {
         let mut fields = read::Reader::new(node, sink)?;
         // Without a bound in force the same cautious one holds as on a platform that sets it.
@@ -102,7 +85,7 @@
         let slack = fields.or("slack", 20.0);
         let span = fields.or("span", Span(time::Duration::from_secs(10)));
         fields.done();
-        Some(Retries { ratio: ratio?, slack: slack?, span: span?.0 })
+        Some(budget::Bound { ratio: ratio?, slack: slack?, span: span?.0 })
     }
 }
 
@@ -116,21 +99,16 @@
     }
 }
 
-impl Default for Moves {
-    /// Without a bound in force the same cautious one holds as on a platform that sets it.
-    fn default() -> Self {
-        Moves { share: 0.1, slack: 20.0 }
-    }
-}
+/// Without a bound in force the same cautious one holds as on a platform that sets it.
+const TRIAL: moves::Bound = moves::Bound { share: 0.1, slack: 20.0 };
 
-impl read::Decode for Moves {
+impl read::Decode for moves::Bound {
     fn decode(node: &tree::Node, sink: &mut read::Sink) -> Option<Self> {
         let mut fields = read::Reader::new(node, sink)?;
-        let usual = Moves::default();
-        let share = fields.or("share", usual.share);
-        let slack = fields.or("slack", usual.slack);
+        let share = fields.or("share", TRIAL.share);
+        let slack = fields.or("slack", TRIAL.slack);
         fields.done();
-        Some(Moves { share: share?, slack: slack? })
+        Some(moves::Bound { share: share?, slack: slack? })
     }
 }
 
@@ -177,7 +155,7 @@
         let grace = fields.need::<Span>("grace");
         let retries = fields.need("retries");
         let cold = fields.need("cold");
-        let moves = fields.or("moves", Moves::default());
+        let moves = fields.or("moves", TRIAL);
         let log = fields.or("log", Log::default());
         fields.done();
         Some(Settings {
--- a/sequoiacrank-edge/src/exchange/admission.rs
+++ b/sequoiacrank-edge/src/exchange/admission.rs
@@ -9,7 +9,6 @@
 use sequoiacrank_adapter::call;
 use sequoiacrank_adapter::ingress;
 use sequoiacrank_kernel::code;
-use sequoiacrank_kernel::edge::budget;
 use sequoiacrank_kernel::id;
 
 use crate::exchange;
@@ -76,7 +75,7 @@
     let session = {
         let mut facts = host.facts.borrow_mut();
         let budget = facts.budgets.entry(service.clone()).or_default();
-        budget.request(host.clock.now(), &host.bound());
+        budget.request(host.clock.now(), &host.tuning.borrow().retries);
         route.affinity.then(|| facts.sessions.key(&route.name, &head.parts)).flatten()
     };
     let budget = head.budget.map_or(route.timeout, |budget| budget.min(route.timeout));
@@ -110,11 +109,3 @@
     let head = format!("{} {} {}", parts.method, parts.uri, key.unwrap_or_default());
     xxhash_rust::xxh3::xxh3_64_with_seed(body, xxhash_rust::xxh3::xxh3_64(head.as_bytes()))
 }
-
-impl host::Host {
-    /// The bound on repeats of all hosts together.
-    pub(super) fn bound(&self) -> budget::Bound {
-        let retries = self.tuning.borrow().retries;
-        budget::Bound { ratio: retries.ratio, slack: retries.slack, span: retries.span }
-    }
-}
--- a/sequoiacrank-edge/src/exchange/mod.rs
+++ b/sequoiacrank-edge/src/exchange/mod.rs
@@ -218,7 +218,7 @@
             return None;
         }
         let hosts = self.host.peers.members().count(self.host.clock.now());
-        let bound = self.host.trial_bound();
+        let bound = self.host.tuning.borrow().moves;
         facts.moves.side(&self.service, hosts, &bound, rand::random())
     }
 
@@ -233,7 +233,7 @@
     pub fn repeat(&self) -> bool {
         let now = self.host.clock.now();
         let hosts = self.host.peers.members().count(now);
-        let bound = self.host.bound();
+        let bound = self.host.tuning.borrow().retries;
         let mut facts = self.host.facts.borrow_mut();
         facts.budgets.entry(self.service.clone()).or_default().repeat(now, &bound, hosts)
     }
--- a/sequoiacrank-edge/src/flight.rs
+++ b/sequoiacrank-edge/src/flight.rs
@@ -109,7 +109,7 @@
             good,
             taken: self.first.get().unwrap_or_else(|| self.age()),
         };
-        facts.moves.ended(now, &call, &rollout::Sequential);
+        facts.moves.ended(&call, &rollout::Sequential);
     }
 }
 
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -7,7 +7,9 @@
 
 use sequoiacrank_adapter::store as topics;
 use sequoiacrank_config::edge;
+use sequoiacrank_kernel::edge::budget;
 use sequoiacrank_kernel::edge::members;
+use sequoiacrank_kernel::edge::moves;
 use sequoiacrank_kernel::edge::pace;
 use sequoiacrank_kernel::id;
 use sequoiacrank_kernel::map;
@@ -22,7 +24,6 @@
 use crate::facts;
 use crate::front;
 use crate::metrics;
-use crate::moves;
 use crate::peer;
 use crate::peer::wire;
 use crate::stages;
@@ -48,11 +49,11 @@
     /// Addresses of a few other hosts.
     pub seeds: Vec<net::SocketAddr>,
     /// Requests that are sent once more; all hosts together.
-    pub retries: edge::Retries,
+    pub retries: budget::Bound,
     /// Requests that a cold endpoint gets; all hosts together.
     pub cold: edge::Cold,
     /// Requests that a version on trial gets; all hosts together.
-    pub moves: edge::Moves,
+    pub moves: moves::Bound,
     /// Time from SIGTERM to SIGKILL.
     pub grace: time::Duration,
 }
@@ -147,21 +148,18 @@
         }
     }
 
-    /// What this host says of itself.
-    pub fn pulse(&self, pulse: &members::Pulse) -> wire::Pulse {
+    /// What this host says of itself, the same to all others.
+    pub fn pulse(&self) -> wire::Pulse {
         let facts = self.facts.borrow();
-        let endpoints = facts.records(topics::Topic::Endpoints);
         wire::Pulse {
             leaving: self.stop.is_leaving(),
             operators: facts.records(topics::Topic::Operators).end(),
-            endpoints: endpoints.end(),
-            hosts: pulse.names.iter().map(net::SocketAddr::to_string).collect(),
-            number: pulse.number,
-            heard: pulse.heard,
+            endpoints: facts.records(topics::Topic::Endpoints).end(),
             process: self.process,
             cpu: self.settings.cpu,
             moves: self.digests().into_iter().map(wire::moves::Move::from).collect(),
             suspects: facts.crashes.digest().into_iter().map(wire::Suspect::from).collect(),
+            ..wire::Pulse::default()
         }
     }
 
@@ -173,8 +171,6 @@
                 self.peers.add(self, address);
             }
         }
-        // Both topics are followed at the store as well; what another host has newer than that shows that
-        // the store can't be reached from here, or answers late.
         if !pulse.suspects.is_empty() {
             let suspects: Vec<_> =
                 pulse.suspects.iter().copied().map(message::Suspect::from).collect();
@@ -182,6 +178,8 @@
             self.facts.borrow_mut().crashes.learn(now, &from.to_string(), &suspects);
         }
         self.take_digests(from, &pulse.moves);
+        // Both topics are followed at the store as well; what another host has newer than that shows that
+        // the store can't be reached from here, or answers late.
         self.fetch(from, false, pulse.operators);
         self.fetch(from, true, pulse.endpoints);
     }
@@ -290,7 +288,7 @@
     task::spawn_local(store::follow(host.clone(), topics::Topic::Endpoints));
     task::spawn_local(store::meet(host.clone()));
     task::spawn_local(pulses(host.clone()));
-    task::spawn_local(moves::follow(host.clone()));
+    task::spawn_local(crate::moves::follow(host.clone()));
     task::spawn_local(batcher::tick(host.clone()));
     task::spawn_local(housekeeping(host.clone()));
     stop::wait(&host).await.map_err(|err| Error::Io("signals", err))?;
--- a/sequoiacrank-edge/src/logs.rs
+++ b/sequoiacrank-edge/src/logs.rs
@@ -45,7 +45,7 @@
 static LINES: sync::OnceLock<(channel::Sender<String>, channel::Receiver<String>)> =
     sync::OnceLock::new();
 
-/// Lines that were left out because the queue was full.
+/// Lines that were left out because the queue was full, or because too many came.
 pub fn dropped() -> u64 {
     DROPPED.load(atomic::Ordering::Relaxed)
 }
@@ -73,7 +73,7 @@
             () => value.to_string().into(),
         };
         // An input that there was not.
-        if value == "None" || value == "<none>" {
+        if value == "<none>" {
             return Ok(());
         }
         self.0.insert(key.to_string(), value);
--- a/sequoiacrank-edge/src/moves.rs
+++ b/sequoiacrank-edge/src/moves.rs
@@ -18,12 +18,6 @@
 const LOOK: time::Duration = time::Duration::from_millis(200);
 
 impl host::Host {
-    /// The bound on requests for a version on trial.
-    pub fn trial_bound(&self) -> moves::Bound {
-        let bound = self.tuning.borrow().moves;
-        moves::Bound { share: bound.share, slack: bound.slack }
-    }
-
     /// What this host says of moves.
     pub fn digests(&self) -> Vec<moves::Digest> {
         let facts = self.facts.borrow();
--- a/sequoiacrank-edge/src/peer/mod.rs
+++ b/sequoiacrank-edge/src/peer/mod.rs
@@ -99,7 +99,7 @@
         self.links.borrow_mut().insert(address, Link::open(address));
         log::info!(target: "hosts", other = address.to_string().as_str(); "named");
         let hello = self.members.borrow().hello(address);
-        self.send(host, address, wire::Body::Pulse(host.pulse(&hello)));
+        self.send(host, address, wire::Body::Pulse(host.pulse().to(&hello)));
     }
 
     /// Tells all hosts that this one lives, and forgets those that are not heard any more.
@@ -109,8 +109,9 @@
             self.links.borrow_mut().remove(&address);
             log::info!(target: "hosts", other = address.to_string().as_str(); "forgotten");
         }
+        let own = host.pulse();
         for pulse in round.pulses {
-            self.send(host, pulse.to, wire::Body::Pulse(host.pulse(&pulse)));
+            self.send(host, pulse.to, wire::Body::Pulse(own.clone().to(&pulse)));
         }
         for address in round.silent {
             self.links.borrow_mut().insert(address, Link::open(address));
@@ -123,7 +124,7 @@
         if let Some(pulse) = introduction {
             log::info!(target: "hosts", other = from.to_string().as_str(); "heard");
             self.reach(from);
-            self.send(host, from, wire::Body::Pulse(host.pulse(&pulse)));
+            self.send(host, from, wire::Body::Pulse(host.pulse().to(&pulse)));
         }
     }
 
--- a/sequoiacrank-edge/src/peer/wire/mod.rs
+++ b/sequoiacrank-edge/src/peer/wire/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod moves;
 
+use std::net;
+
 use bytes::Buf as _;
 use bytes::BufMut as _;
 use bytes::Bytes;
@@ -181,6 +183,18 @@
     pub offset: u64,
 }
 
+impl Pulse {
+    /// The same with what is for one receiver alone.
+    pub fn to(self, pulse: &members::Pulse) -> Self {
+        Pulse {
+            hosts: pulse.names.iter().map(net::SocketAddr::to_string).collect(),
+            number: pulse.number,
+            heard: pulse.heard,
+            ..self
+        }
+    }
+}
+
 impl From<&Pulse> for members::Signs {
     fn from(wire: &Pulse) -> Self {
         members::Signs {
--- a/sequoiacrank-edge/src/store.rs
+++ b/sequoiacrank-edge/src/store.rs
@@ -29,6 +29,9 @@
 const AGAIN: time::Duration = time::Duration::from_millis(400);
 /// Times that other hosts double it: readers tell them when the store is back.
 const DOUBLINGS: u32 = 3;
+/// Bounds of the factor by which each such time differs. Hosts that lost the store at the same moment do not
+/// all come back to it at once.
+const SPREAD: (f64, f64) = (0.75, 1.25);
 /// Hosts that name themselves in the store. Others find these, and are named by them.
 const NAMED: usize = 3;
 /// Time between two reads of the endpoints' records: they are written every second or so, and what an
@@ -153,8 +156,7 @@
                 }
                 let doubled = if is_reader(&host) { 0 } else { DOUBLINGS.min(failures) };
                 failures += 1;
-                // Hosts that lost the store at the same moment do not all come back to it at once.
-                let spread = 0.75 + 0.5 * rand::random::<f64>();
+                let spread = SPREAD.0 + (SPREAD.1 - SPREAD.0) * rand::random::<f64>();
                 tokio::time::sleep((AGAIN * (1 << doubled)).mul_f64(spread)).await;
             }
         }
--- a/sequoiacrank-kernel/src/edge/budget.rs
+++ b/sequoiacrank-kernel/src/edge/budget.rs
@@ -9,7 +9,7 @@
 use crate::id;
 
 /// The bound that all hosts keep together.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Bound {
     /// Repeats for each request.
     pub ratio: f64,
--- a/sequoiacrank-kernel/src/edge/moves.rs
+++ b/sequoiacrank-kernel/src/edge/moves.rs
@@ -28,8 +28,6 @@
 const GIVE_UP: f64 = 0.8;
 /// Part of a move's time for which hosts that still use the old version are waited for.
 const WAIT: f64 = 0.92;
-/// Shortest time between two comparisons of all routes; hosts tell of their calls less often.
-const COMPARE_PAUSE: time::Duration = time::Duration::from_millis(250);
 
 /// Bound on the requests that meet a version which turns out bad; all hosts together.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -131,7 +129,6 @@
     began: id::Time,
     phase: Phase,
     sides: comparison::Comparison,
-    compared: id::Time,
     /// Requests of this host since the order, and those of them that went to the target.
     all: u64,
     new: u64,
@@ -204,14 +201,15 @@
                 began: now,
                 phase: Phase::Waiting,
                 sides: comparison::Comparison::default(),
-                compared: id::Time::ZERO,
                 all: 0,
                 new: 0,
                 digests: collections::BTreeMap::new(),
                 written: None,
             };
+            let target = next.order.target.clone();
             self.moves.insert(service.clone(), next);
-            self.reach(&service, Phase::Waiting, "ordered");
+            let why = "ordered".to_owned();
+            self.news.push(News { service, target, phase: Phase::Waiting, why });
         }
     }
 
@@ -244,9 +242,9 @@
     }
 
     /// Counts a call that tells something of its version.
-    pub fn ended(&mut self, now: id::Time, call: &policy::Call<'_>, judge: &dyn policy::Judge) {
+    pub fn ended(&mut self, call: &policy::Call<'_>, judge: &dyn policy::Judge) {
         let Some(it) = self.moves.get_mut(call.service) else { return };
-        if !matches!(it.phase, Phase::Trial | Phase::Moved) || now < it.began {
+        if !matches!(it.phase, Phase::Trial | Phase::Moved) {
             return;
         }
         let done = it.phase == Phase::Moved;
@@ -306,9 +304,7 @@
 
     fn reach(&mut self, service: &str, phase: Phase, why: &str) {
         let Some(it) = self.moves.get_mut(service) else { return };
-        let ordered =
-            phase == Phase::Waiting && it.phase == Phase::Waiting && it.digests.is_empty();
-        if phase > it.phase || ordered {
+        if phase > it.phase {
             it.phase = phase;
             let (service, target) = (service.to_owned(), it.order.target.clone());
             self.news.push(News { service, target, phase, why: why.to_owned() });
@@ -323,12 +319,11 @@
             if !matches!(it.phase, Phase::Trial | Phase::Moved) {
                 continue;
             }
-            if now >= it.compared + COMPARE_PAUSE && it.sides.take_news() {
-                it.compared = now;
-                if let Some(why) = it.sides.news_fault(judge, it.phase == Phase::Moved) {
-                    found.push((service.clone(), Phase::TakenBack, why));
-                    continue;
-                }
+            if it.sides.take_news(now)
+                && let Some(why) = it.sides.news_fault(judge, it.phase == Phase::Moved)
+            {
+                found.push((service.clone(), Phase::TakenBack, why));
+                continue;
             }
             if it.phase != Phase::Trial || now < it.at(TRIAL) {
                 continue;
--- a/sequoiacrank-kernel/src/edge/pace.rs
+++ b/sequoiacrank-kernel/src/edge/pace.rs
@@ -48,7 +48,7 @@
     }
 
     /// How often it was done in the last second.
-    pub fn recent(&self, now: id::Time) -> usize {
+    fn recent(&self, now: id::Time) -> usize {
         self.done.iter().rev().take_while(|&&at| now < at + SPAN).count()
     }
 
--- a/sequoiacrank-kernel/src/edge/records.rs
+++ b/sequoiacrank-kernel/src/edge/records.rs
@@ -5,14 +5,14 @@
 use std::collections;
 use std::time;
 
+use crate::edge::members;
 use crate::id;
 
 /// Time after which another host is asked if the first did not answer: a large configuration has arrived
 /// by then over the slowest link of a host.
 const ASKED: time::Duration = time::Duration::from_millis(600);
-
-/// Time for which records that another host has may still come from the store: one pulse.
-const BEHIND: time::Duration = time::Duration::from_millis(400);
+/// Time for which records that another host has may still come from the store.
+const BEHIND: time::Duration = members::PULSE;
 
 /// The newest record of a key. Without a value the key was dropped.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/sequoiacrank-kernel/src/rollout/comparison.rs
+++ b/sequoiacrank-kernel/src/rollout/comparison.rs
@@ -1,5 +1,7 @@
 //! The old and the new version of a service side by side, route by route, over all hosts.
 
+use std::time;
+
 use crate::id;
 use crate::map;
 use crate::message;
@@ -9,6 +11,8 @@
 
 /// Every how many good calls of the new version its route is compared; after bad ones always.
 const COMPARE_EVERY: u64 = 4;
+/// Shortest time between two comparisons of all routes; digests of peers come no faster.
+const COMPARE_PAUSE: time::Duration = time::Duration::from_millis(250);
 /// Calls of the new version that a route needs in each step.
 const MIN_ROUTE: u64 = 10;
 /// Inverse of the share of all calls below which a route is not waited for.
@@ -26,6 +30,8 @@
     routes: map::FastMap<id::RouteId, evidence::Route>,
     /// All routes together, which shows a fault that all of them share sooner than each alone.
     pool: evidence::Route,
+    /// When all routes were last compared.
+    compared: id::Time,
 }
 
 impl Comparison {
@@ -108,9 +114,14 @@
         ))
     }
 
-    /// Whether calls of the new version were added since this was last asked.
-    pub fn take_news(&mut self) -> bool {
-        self.pool.take_news()
+    /// Whether all routes are to be compared now: calls of the new version were added since the last time,
+    /// and that is long enough ago.
+    pub fn take_news(&mut self, now: id::Time) -> bool {
+        let news = now >= self.compared + COMPARE_PAUSE && self.pool.take_news();
+        if news {
+            self.compared = now;
+        }
+        news
     }
 
     /// What is wrong on any route that got calls of the new version since this was last asked.
--- a/sequoiacrank-kernel/src/rollout/track.rs
+++ b/sequoiacrank-kernel/src/rollout/track.rs
@@ -1,7 +1,5 @@
 //! One move on one host, from its start to its end.
 
-use std::time;
-
 use crate::id;
 use crate::log;
 use crate::message;
@@ -10,8 +8,6 @@
 use crate::rollout::comparison;
 use crate::rollout::ramp;
 
-/// Shortest time between two comparisons of all routes; digests of peers come no faster.
-const COMPARE_PAUSE: time::Duration = time::Duration::from_millis(250);
 /// Where a move stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Phase {
@@ -50,8 +46,6 @@
     sides: comparison::Comparison,
     /// Whether the old version still has endpoints.
     standby: bool,
-    /// When all routes were last compared.
-    compared: id::Time,
     /// When this host first knew of the move.
     joined: id::Time,
     /// Whether this host found the end and has not reported it.
@@ -68,7 +62,6 @@
             ramp: ramp::Ramp { step: 0, since: now.max(spec.start) },
             sides: comparison::Comparison::default(),
             standby: true,
-            compared: id::Time::ZERO,
             joined: now,
             unreported: false,
         }
@@ -168,12 +161,9 @@
         if !self.watched(now) {
             return;
         }
-        let news = now >= self.compared + COMPARE_PAUSE && self.sides.take_news();
-        if news {
-            self.compared = now;
-            if let Some(why) = self.sides.news_fault(judge, self.phase == Phase::Done) {
-                self.found(Phase::TakenBack, why);
-            }
+        let news = self.sides.take_news(now);
+        if news && let Some(why) = self.sides.news_fault(judge, self.phase == Phase::Done) {
+            self.found(Phase::TakenBack, why);
         }
         let late = self.joined >= ramp::give_up(&self.spec);
         let limit = if late { self.joined + super::LATE } else { ramp::give_up(&self.spec) };
--- a/sequoiacrank-kernel/tests/edge/moves.rs
+++ b/sequoiacrank-kernel/tests/edge/moves.rs
@@ -93,7 +93,7 @@
         }
         moves.sent("desk", version);
         let call = policy::Call { service: "desk", version, route, good, taken };
-        moves.ended(now, &call, &rollout::Sequential);
+        moves.ended(&call, &rollout::Sequential);
     }
 
     fn run(&mut self, to: time::Duration) {
