Log line and metric for each repeat of a request

Nothing told a repeat from a first send, nor what the budget knew when it let one through: a breach of the bound could not be traced to a send, a host or a belief. The line 'repeat' has the reason, the verdict, both counts, the most that they allow, the number of hosts among which the bound is divided and the age of the process; 'sent' has the number of the send, so that a send without such a line shows. No change of logic.

--- a/sequoiacrank-edge/src/exchange/mod.rs
+++ b/sequoiacrank-edge/src/exchange/mod.rs
@@ -1,6 +1,7 @@
 //! One request of a caller, from its head to its answer.
 
 mod admission;
+mod repeat;
 mod send;
 
 use std::cell;
@@ -229,20 +230,6 @@
         Some(host::millis(self.host.clock.now().saturating_sub(fresh)))
     }
 
-    /// Takes one repeat out of the budget.
-    pub fn repeat(&self) -> bool {
-        let now = self.host.clock.now();
-        let hosts = self.host.peers.members().count(now);
-        let bound = self.host.tuning.borrow().retries;
-        let mut facts = self.host.facts.borrow_mut();
-        facts.budgets.entry(self.service.clone()).or_default().repeat(now, &bound, hosts)
-    }
-
-    /// Whether the request may be sent to one more endpoint.
-    pub fn may_repeat(&self) -> bool {
-        self.route.repeatable() && self.sends.get() < self.route.attempts && self.left() > LEAST
-    }
-
     /// Sends the request until an endpoint begins to answer.
     async fn calls(&self) -> Result<Upstream, refusal::Refusal> {
         let mut unreached = 0;
@@ -260,7 +247,7 @@
             self.tried.borrow_mut().push(endpoint.clone());
             let miss = match self.send(&endpoint, address, self.head.resume).await {
                 Ok(upstream)
-                    if self.is_failure(&upstream) && self.may_repeat() && self.repeat() =>
+                    if self.is_failure(&upstream) && self.may_repeat() && self.repeat("failed") =>
                 {
                     upstream.flight.end(fleet::End::Bad);
                     self.ran.set(true);
@@ -278,20 +265,20 @@
                 }
                 Miss::Refused(http::StatusCode::MISDIRECTED_REQUEST) => unreached += 1,
                 Miss::Refused(http::StatusCode::CONFLICT) if self.results.borrow().is_some() => {
-                    if self.sends.get() > 1 || !self.repeat() {
+                    if self.sends.get() > 1 || !self.repeat("results gone") {
                         return Err(refusal::Refusal::soon(code::Code::QueueFull));
                     }
                     self.results.borrow_mut().take();
                     self.stages().await?;
                 }
                 Miss::Refused(_) => {
-                    if self.sends.get() >= self.route.attempts || !self.repeat() {
+                    if self.sends.get() >= self.route.attempts || !self.repeat("refused") {
                         return Err(refusal::Refusal::soon(code::Code::QueueFull));
                     }
                 }
                 Miss::Lost(code) => {
                     self.ran.set(true);
-                    if !self.may_repeat() || !self.repeat() {
+                    if !self.may_repeat() || !self.repeat("lost") {
                         return Err(refusal::Refusal::new(code));
                     }
                 }
--- /dev/null
+++ b/sequoiacrank-edge/src/exchange/repeat.rs
@@ -0,0 +1,36 @@
+//! Sends of a request behind its first one.
+
+use sequoiacrank_kernel::edge::budget;
+
+use crate::exchange;
+use crate::host;
+
+impl exchange::Exchange {
+    /// Whether the request may be sent to one more endpoint.
+    pub fn may_repeat(&self) -> bool {
+        let tried = self.sends.get() >= self.route.attempts;
+        self.route.repeatable() && !tried && self.left() > exchange::LEAST
+    }
+
+    /// Takes one repeat out of the budget; `why` says what became of the send before.
+    pub fn repeat(&self, why: &'static str) -> bool {
+        let now = self.host.clock.now();
+        let hosts = self.host.peers.members().count(now);
+        let bound = self.host.tuning.borrow().retries;
+        let mut facts = self.host.facts.borrow_mut();
+        let budget = facts.budgets.entry(self.service.clone()).or_default();
+        let verdict = budget.repeat(now, &bound, hosts);
+        drop(facts);
+        self.note_repeat(why, hosts, &verdict);
+        verdict.granted
+    }
+
+    fn note_repeat(&self, why: &'static str, hosts: usize, verdict: &budget::Verdict) {
+        let budget::Verdict { granted, repeats, requests, most } = *verdict;
+        let outcome = if granted { "granted" } else { "refused" };
+        self.host.metrics.repeats.with_label_values(&[&self.service, outcome]).inc();
+        let (id, service) = (self.head.attempt.as_str(), self.service.as_str());
+        let (sends, age) = (self.sends.get(), host::millis(self.host.clock.now()));
+        log::info!(target: "request", id, service, why, granted, sends, repeats, requests, most, hosts, age; "repeat");
+    }
+}
--- a/sequoiacrank-edge/src/exchange/send.rs
+++ b/sequoiacrank-edge/src/exchange/send.rs
@@ -57,7 +57,7 @@
         flight.sent(&self.route.name);
         let patience = self.patience();
         let session = self.session.map(|session| format!("{session:016x}"));
-        log::info!(target: "request", id = self.head.attempt.as_str(), endpoint, session, version = self.version, known = self.known(), left = host::millis(self.left()), patience = host::millis(patience), flight = host.facts.borrow().fleet.flight(endpoint); "sent");
+        log::info!(target: "request", id = self.head.attempt.as_str(), endpoint, send = self.sends.get(), session, version = self.version, known = self.known(), left = host::millis(self.left()), patience = host::millis(patience), flight = host.facts.borrow().fleet.flight(endpoint); "sent");
         let sent = connection.send(self.order(endpoint, resume));
         let mut answer =
             tokio::time::timeout(patience, sent).await.unwrap_or(Err(client::Error::Time));
--- a/sequoiacrank-edge/src/metrics.rs
+++ b/sequoiacrank-edge/src/metrics.rs
@@ -15,6 +15,8 @@
     pub latency: prometheus::HistogramVec,
     /// Calls to endpoints by end.
     pub calls: prometheus::IntCounterVec,
+    /// Sends of requests behind the first, by service and whether the budget had room.
+    pub repeats: prometheus::IntCounterVec,
     /// Calls to stage endpoints.
     pub stage_calls: prometheus::IntCounter,
     /// Pieces in them.
@@ -59,6 +61,10 @@
             ),
             latency: added(&registry, prometheus::HistogramVec::new(latency, &["route"])),
             calls: added(&registry, counters("calls_total", "Calls to endpoints", &["end"])),
+            repeats: added(
+                &registry,
+                counters("repeats_total", "Requests sent once more", &["service", "outcome"]),
+            ),
             stage_calls: added(&registry, counter("stage_calls_total", "Calls to stage endpoints")),
             stage_pieces: added(
                 &registry,
--- a/sequoiacrank-edge/src/stream.rs
+++ b/sequoiacrank-edge/src/stream.rs
@@ -143,7 +143,7 @@
 }
 
 async fn resume(exchange: &exchange::Exchange, last: Option<u64>) -> Option<exchange::Upstream> {
-    if !exchange.may_repeat() || !exchange.repeat() {
+    if !exchange.may_repeat() || !exchange.repeat("stream broken") {
         return None;
     }
     let upstream = exchange.resume(last.unwrap_or_default()).await.ok()?;
--- a/sequoiacrank-kernel/src/edge/budget.rs
+++ b/sequoiacrank-kernel/src/edge/budget.rs
@@ -23,6 +23,19 @@
 /// requests that are counted in the span before.
 const USED: f64 = 0.7;
 
+/// What a budget says to one more repeat, and why.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Verdict {
+    /// Whether the request may be sent once more.
+    pub granted: bool,
+    /// Repeats of this host within the span, with this one if it is granted.
+    pub repeats: usize,
+    /// Requests of this host within the span.
+    pub requests: usize,
+    /// Most repeats that this host may send within the span.
+    pub most: f64,
+}
+
 /// Counts of one service on one host.
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
@@ -38,16 +51,17 @@
     }
 
     /// Takes one repeat out of the budget of one of `hosts` hosts, if there is one left.
-    pub fn repeat(&mut self, now: id::Time, bound: &Bound, hosts: usize) -> bool {
+    pub fn repeat(&mut self, now: id::Time, bound: &Bound, hosts: usize) -> Verdict {
         trim(&mut self.requests, now, bound.span);
         trim(&mut self.repeats, now, bound.span);
         let share = bound.slack / hosts.max(1) as f64;
         let most = USED * (bound.ratio * self.requests.len() as f64 + share);
-        let left = (self.repeats.len() as f64) + 1.0 <= most;
-        if left {
+        let granted = (self.repeats.len() as f64) + 1.0 <= most;
+        if granted {
             self.repeats.push_back(now);
         }
-        left
+        let (repeats, requests) = (self.repeats.len(), self.requests.len());
+        Verdict { granted, repeats, requests, most }
     }
 }
 
