--- a/sequoiacrank-kernel/tests/edge/members.rs
+++ b/sequoiacrank-kernel/tests/edge/members.rs
@@ -3,6 +3,7 @@
 use std::net;
 use std::time;
 
+use sequoiacrank_kernel::edge::budget;
 use sequoiacrank_kernel::edge::members;
 use sequoiacrank_kernel::edge::records;
 
@@ -217,3 +218,32 @@
         assert_eq!(known.ask(now + site::ms(400), version), None);
     }
 }
+
+/// Hosts that do not hear each other for long divide the bound on repeats among as many as before.
+#[test]
+#[ignore = "known red, issue 16"]
+fn hosts_that_lose_each_other_do_not_use_more_than_the_budget_of_repeats() {
+    let bound = budget::Bound { ratio: 0.2, slack: 54.0, span: site::ms(10_000) };
+    let mut hosts = vec![members::Members::default(); 7];
+    for (own, host) in hosts.iter_mut().enumerate() {
+        for other in (0..7).filter(|&other| usize::from(other) != own) {
+            host.add(site::ms(0), address(other));
+            host.hear(site::ms(0), address(other));
+        }
+    }
+    let mut budgets = vec![budget::Budget::default(); hosts.len()];
+    let (mut requests, mut repeats) = (0, 0);
+    for tick in 0..600 {
+        let now = site::ms(tick * 100);
+        for (host, budget) in hosts.iter_mut().zip(&mut budgets) {
+            host.pulse(now);
+            if now >= site::ms(50_000) {
+                requests += 1;
+                budget.request(now, &bound);
+                repeats += u32::from(budget.repeat(now, &bound, host.count(now)).granted);
+            }
+        }
+    }
+    let most = bound.ratio * f64::from(requests) + bound.slack;
+    assert!(f64::from(repeats) <= most, "{repeats} of {most}");
+}
