A send behind a 421 takes from the budget of repeats

Callers saw requests refused late while the endpoints of their service got several times the load: when endpoints came back at their addresses under new names, each request went from one to the next, and each of them answered 421.

Cause: branches of exchange::calls decided for themselves whether a further send is a repeat, and the one for 421 did not ask the budget, nor did it end before all endpoints were tried. Class: a bound that each caller of a function has to remember. Now a send takes a permit, and permits behind the first come out of the budget alone; one comes back if nothing was sent. And an endpoint at whose address another one answered is not chosen again until it is registered anew: what is known to be in vain is refused at once.

--- a/sequoiacrank-edge/src/exchange/mod.rs
+++ b/sequoiacrank-edge/src/exchange/mod.rs
@@ -83,7 +83,7 @@
 /// How one send ended without an answer for the caller.
 pub enum Miss {
     /// The endpoint did not get it.
-    Unsent,
+    Unsent(repeat::Permit),
     /// The endpoint did not run it.
     Refused(http::StatusCode),
     /// It may have run.
@@ -233,6 +233,7 @@
     /// Sends the request until an endpoint begins to answer.
     async fn calls(&self) -> Result<Upstream, refusal::Refusal> {
         let mut unreached = 0;
+        let mut permit = self.permit("first");
         loop {
             if self.left() < LEAST {
                 let code = match self.sends.get() {
@@ -241,14 +242,19 @@
                 };
                 return Err(refusal::Refusal::new(code));
             }
+            let Some(leave) = permit.take() else {
+                return Err(refusal::Refusal::soon(code::Code::QueueFull));
+            };
             let Some((endpoint, address, _)) = self.choose() else {
                 return Err(refusal::Refusal::soon(code::Code::NoEndpoint));
             };
             self.tried.borrow_mut().push(endpoint.clone());
-            let miss = match self.send(&endpoint, address, self.head.resume).await {
-                Ok(upstream)
-                    if self.is_failure(&upstream) && self.may_repeat() && self.repeat("failed") =>
-                {
+            let miss = match self.send(&endpoint, address, self.head.resume, leave).await {
+                Ok(upstream) if self.is_failure(&upstream) && self.may_repeat() => {
+                    permit = self.permit("failed");
+                    if permit.is_none() {
+                        return Ok(upstream);
+                    }
                     upstream.flight.end(fleet::End::Bad);
                     self.ran.set(true);
                     continue;
@@ -257,28 +263,40 @@
                 Err(miss) => miss,
             };
             match miss {
-                Miss::Unsent => {
+                Miss::Unsent(_) | Miss::Refused(http::StatusCode::MISDIRECTED_REQUEST)
+                    if unreached + 1 >= UNREACHED =>
+                {
+                    return Err(refusal::Refusal::soon(code::Code::NoEndpoint));
+                }
+                Miss::Unsent(back) => {
                     unreached += 1;
-                    if unreached >= UNREACHED {
-                        return Err(refusal::Refusal::soon(code::Code::NoEndpoint));
-                    }
+                    permit = Some(back);
+                }
+                Miss::Refused(http::StatusCode::MISDIRECTED_REQUEST) => {
+                    unreached += 1;
+                    permit = self.permit("another endpoint");
                 }
-                Miss::Refused(http::StatusCode::MISDIRECTED_REQUEST) => unreached += 1,
                 Miss::Refused(http::StatusCode::CONFLICT) if self.results.borrow().is_some() => {
-                    if self.sends.get() > 1 || !self.repeat("results gone") {
+                    if self.sends.get() > 1 {
                         return Err(refusal::Refusal::soon(code::Code::QueueFull));
                     }
+                    permit = self.permit("results gone");
                     self.results.borrow_mut().take();
-                    self.stages().await?;
-                }
-                Miss::Refused(_) => {
-                    if self.sends.get() >= self.route.attempts || !self.repeat("refused") {
-                        return Err(refusal::Refusal::soon(code::Code::QueueFull));
+                    if permit.is_some() {
+                        self.stages().await?;
                     }
                 }
+                Miss::Refused(_) if self.sends.get() >= self.route.attempts => {
+                    return Err(refusal::Refusal::soon(code::Code::QueueFull));
+                }
+                Miss::Refused(_) => permit = self.permit("refused"),
                 Miss::Lost(code) => {
                     self.ran.set(true);
-                    if !self.may_repeat() || !self.repeat("lost") {
+                    permit = match self.may_repeat() {
+                        true => self.permit("lost"),
+                        false => None,
+                    };
+                    if permit.is_none() {
                         return Err(refusal::Refusal::new(code));
                     }
                 }
@@ -287,13 +305,13 @@
     }
 
     /// The endpoint for the continuation of a stream, and its answer.
-    pub async fn resume(&self, last: u64) -> Result<Upstream, Miss> {
+    pub async fn resume(&self, last: u64, permit: repeat::Permit) -> Result<Upstream, Miss> {
         if self.results.borrow().is_none() && self.stages().await.is_err() {
-            return Err(Miss::Unsent);
+            return Err(Miss::Unsent(permit));
         }
-        let Some((endpoint, address, _)) = self.choose() else { return Err(Miss::Unsent) };
+        let Some((endpoint, address, _)) = self.choose() else { return Err(Miss::Unsent(permit)) };
         self.tried.borrow_mut().push(endpoint.clone());
-        self.send(&endpoint, address, Some(last)).await
+        self.send(&endpoint, address, Some(last), permit).await
     }
 
     /// Turns the answer of an endpoint into that for the caller.
@@ -316,11 +334,7 @@
         let body = match whole.unwrap_or(Err(client::Error::Time)) {
             Ok(body) => body,
             Err(err) => {
-                let miss = self.missed(flight, &err);
-                let code = match miss {
-                    Miss::Lost(code) => code,
-                    Miss::Unsent | Miss::Refused(_) => code::Code::OutcomeLost,
-                };
+                let code = self.missed(flight, &err);
                 return self.refuse(refusal::Refusal::new(code));
             }
         };
--- a/sequoiacrank-edge/src/exchange/repeat.rs
+++ b/sequoiacrank-edge/src/exchange/repeat.rs
@@ -1,10 +1,15 @@
-//! Sends of a request behind its first one.
+//! Leave to send a request: once for nothing, then out of the budget of repeats.
 
 use sequoiacrank_kernel::edge::budget;
 
 use crate::exchange;
 use crate::host;
 
+/// Leave to send a request to one endpoint. A send takes it, so that no way to a further endpoint passes by
+/// the budget; it comes back if nothing was sent.
+#[must_use]
+pub struct Permit(());
+
 impl exchange::Exchange {
     /// Whether the request may be sent to one more endpoint.
     pub fn may_repeat(&self) -> bool {
@@ -12,8 +17,15 @@
         self.route.repeatable() && !tried && self.left() > exchange::LEAST
     }
 
-    /// Takes one repeat out of the budget; `why` says what became of the send before.
-    pub fn repeat(&self, why: &'static str) -> bool {
+    /// Leave for the next send, if the budget has room for it; `why` says what became of the one before.
+    /// Endpoints that rejected the request count as well: it has reached them.
+    pub fn permit(&self, why: &'static str) -> Option<Permit> {
+        let first = self.sends.get() == 0;
+        (first || self.repeat(why)).then_some(Permit(()))
+    }
+
+    /// Takes one repeat out of the budget.
+    fn repeat(&self, why: &'static str) -> bool {
         let now = self.host.clock.now();
         let hosts = self.host.peers.members().count(now);
         let bound = self.host.tuning.borrow().retries;
--- a/sequoiacrank-edge/src/exchange/send.rs
+++ b/sequoiacrank-edge/src/exchange/send.rs
@@ -12,6 +12,7 @@
 
 use crate::client;
 use crate::exchange;
+use crate::exchange::repeat;
 use crate::flight;
 use crate::host;
 
@@ -42,6 +43,7 @@
         endpoint: &str,
         address: net::SocketAddr,
         resume: Option<u64>,
+        permit: repeat::Permit,
     ) -> Result<exchange::Upstream, exchange::Miss> {
         let host = &self.host;
         let mut flight = flight::Flight::begin(host, endpoint);
@@ -51,7 +53,7 @@
         };
         let mut connection = match connection {
             Ok(connection) => connection,
-            Err(err) => return Err(self.missed(flight, &err)),
+            Err(err) => return Err(self.miss(flight, &err, permit)),
         };
         self.sends.set(self.sends.get() + 1);
         flight.sent(&self.route.name);
@@ -67,7 +69,7 @@
                 Ok(connection) => connection,
                 Err(err) => {
                     self.sends.set(self.sends.get() - 1);
-                    return Err(self.missed(flight, &err));
+                    return Err(self.miss(flight, &err, permit));
                 }
             };
             let sent = connection.send(self.order(endpoint, resume));
@@ -75,7 +77,7 @@
         }
         let answer = match answer {
             Ok(answer) => answer,
-            Err(err) => return Err(self.missed(flight, &err)),
+            Err(err) => return Err(self.miss(flight, &err, permit)),
         };
         flight.answered();
         let (head, body) = answer.into_parts();
@@ -98,26 +100,38 @@
         }
     }
 
-    pub(super) fn missed(&self, flight: flight::Flight, err: &client::Error) -> exchange::Miss {
+    fn miss(
+        &self,
+        flight: flight::Flight,
+        err: &client::Error,
+        permit: repeat::Permit,
+    ) -> exchange::Miss {
+        let code = self.missed(flight, err);
+        match err.is_unsent() {
+            true => exchange::Miss::Unsent(permit),
+            false => exchange::Miss::Lost(code),
+        }
+    }
+
+    /// Notes that a send ended without a whole answer. Returns what to say if it may have run.
+    pub(super) fn missed(&self, flight: flight::Flight, err: &client::Error) -> code::Code {
         let id = self.head.attempt.as_str();
         let reason = err.to_string();
         let took = host::millis(self.host.clock.now().saturating_sub(self.began));
         log::warn!(target: "request", id, endpoint = flight.endpoint.as_str(), took, reason = reason.as_str(); "send failed");
-        let (end, miss) = match err {
-            client::Error::Connect(_) => (fleet::End::Lost, exchange::Miss::Unsent),
+        let (end, code) = match err {
+            client::Error::Connect(_) => (fleet::End::Lost, code::Code::OutcomeLost),
             client::Error::Time if self.left() < exchange::LEAST => {
-                (fleet::End::Bad, exchange::Miss::Lost(code::Code::Deadline))
-            }
-            client::Error::Time => {
-                (fleet::End::Lost, exchange::Miss::Lost(code::Code::StageFailed))
+                (fleet::End::Bad, code::Code::Deadline)
             }
+            client::Error::Time => (fleet::End::Lost, code::Code::StageFailed),
             client::Error::Broken(_) | client::Error::Large => {
-                (fleet::End::Broken, exchange::Miss::Lost(code::Code::OutcomeLost))
+                (fleet::End::Broken, code::Code::OutcomeLost)
             }
         };
         self.note_crash(&flight.endpoint, end, err);
         flight.end(end);
-        miss
+        code
     }
 
     /// Notes what the end of a send says of the request and of its endpoint.
--- a/sequoiacrank-edge/src/stream.rs
+++ b/sequoiacrank-edge/src/stream.rs
@@ -143,10 +143,11 @@
 }
 
 async fn resume(exchange: &exchange::Exchange, last: Option<u64>) -> Option<exchange::Upstream> {
-    if !exchange.may_repeat() || !exchange.repeat("stream broken") {
+    if !exchange.may_repeat() {
         return None;
     }
-    let upstream = exchange.resume(last.unwrap_or_default()).await.ok()?;
+    let permit = exchange.permit("stream broken")?;
+    let upstream = exchange.resume(last.unwrap_or_default(), permit).await.ok()?;
     let good = upstream.head.status.is_success();
     let status = upstream.head.status.as_u16();
     let id = exchange.head.attempt.as_str();
--- a/sequoiacrank-kernel/src/edge/fleet.rs
+++ b/sequoiacrank-kernel/src/edge/fleet.rs
@@ -76,6 +76,8 @@
     strikes: u32,
     /// Time until which it is passed over.
     passed: id::Time,
+    /// Whether another endpoint answered at its address since it was last registered.
+    replaced: bool,
     /// Time of the last broken connection behind its last answer.
     doubt: Option<id::Time>,
     /// Usual time to the first byte of its answers.
@@ -163,6 +165,7 @@
         match self.members.get_mut(&entry.id) {
             Some(member) if member.entry.born == entry.born => {
                 member.entry = entry;
+                member.replaced = false;
                 false
             }
             _ => {
@@ -175,6 +178,7 @@
                     judged: id::Time::ZERO,
                     strikes: 0,
                     passed: id::Time::ZERO,
+                    replaced: false,
                     doubt: None,
                     usual: None,
                     pace: pace::Pace::default(),
@@ -231,7 +235,7 @@
     ) -> Option<&endpoint::Endpoint> {
         let all: Vec<&Member> = self
             .open()
-            .filter(|member| member.entry.service == service)
+            .filter(|member| member.entry.service == service && !member.replaced)
             .filter(|member| !want.avoid.contains(&member.entry.id))
             .filter(|member| want.rate.is_none_or(|rate| member.bears(now, &rate)))
             .collect();
@@ -294,6 +298,7 @@
         member.failing = failing + FAIL_WEIGHT * (bad - failing);
         member.judged = now;
         let alone = member.doubt.is_none_or(|at| now >= at + DOUBT);
+        member.replaced |= end == End::Other;
         match end {
             End::Broken if alone => member.doubt = Some(now),
             End::Broken | End::Lost | End::Other => {
--- a/sequoiacrank-kernel/tests/edge/fleet.rs
+++ b/sequoiacrank-kernel/tests/edge/fleet.rs
@@ -159,3 +159,16 @@
     let (_, most) = many_hosts(&mut hosts, 0, 4, 600);
     assert!(most as f64 <= BORNE, "{most}");
 }
+
+/// Every request to an endpoint that has gone reached the one at its address, again and again.
+#[test]
+fn an_endpoint_with_another_one_at_its_address_gets_nothing_until_it_is_registered_again() {
+    let mut fleet = fleet();
+    let home = choose(&fleet, site::ms(0), 7);
+    let call = fleet.begin(site::ms(0), &home);
+    fleet.end(site::ms(1), &home, call, fleet::End::Other);
+    assert!((0..100).all(|second| choose(&fleet, site::ms(second * 1000), 7) != home));
+    let entry = fleet.get(&home).expect("an endpoint").clone();
+    fleet.register(site::ms(100_000), entry);
+    assert_eq!(choose(&fleet, site::ms(110_000), 7), home);
+}
