A restarted or cut off host does not spend the fixed part of the budget again

Callers and endpoints saw up to one repeat for each request, for as long as hosts restarted in series or did not hear each other: the load of a service that fails was doubled.

Cause: a bound over all hosts was divided by what one process knows at the moment. Each process began with a whole share, one that had heard nobody yet took all of it, and hosts that lost each other for 20 s forgot each other and divided among fewer. Class: a sum over hosts that follows from the memory of a process and from who is heard just now.

Change: the fixed part of the bound is for processes older than its span (an earlier process of the host may have spent the share), and not for one that knows others by name and heard none. Hosts that fall silent keep their shares for 15 minutes, as regions lose each other for minutes; those that said they leave lose it once they are forgotten. Pulses tell how many hosts each knows, and the largest number holds, so that a new process does not divide by the few that it hears. The part of the bound that follows a host's own requests needs none of this. Repeats count for a second longer than the span, as they arrive later than they are decided.

--- a/sequoiacrank-edge/src/exchange/mod.rs
+++ b/sequoiacrank-edge/src/exchange/mod.rs
@@ -218,7 +218,7 @@
         if facts.moves.is_empty() {
             return None;
         }
-        let hosts = self.host.peers.members().count(self.host.clock.now());
+        let hosts = self.host.peers.members().sharers(self.host.clock.now());
         let bound = self.host.tuning.borrow().moves;
         facts.moves.side(&self.service, hosts, &bound, rand::random())
     }
--- a/sequoiacrank-edge/src/exchange/repeat.rs
+++ b/sequoiacrank-edge/src/exchange/repeat.rs
@@ -27,8 +27,8 @@
     /// Takes one repeat out of the budget.
     fn repeat(&self, why: &'static str) -> bool {
         let now = self.host.clock.now();
-        let hosts = self.host.peers.members().count(now);
         let bound = self.host.tuning.borrow().retries;
+        let hosts = self.host.peers.members().part(now, bound.memory());
         let mut facts = self.host.facts.borrow_mut();
         let budget = facts.budgets.entry(self.service.clone()).or_default();
         let verdict = budget.repeat(now, &bound, hosts);
@@ -37,7 +37,7 @@
         verdict.granted
     }
 
-    fn note_repeat(&self, why: &'static str, hosts: usize, verdict: &budget::Verdict) {
+    fn note_repeat(&self, why: &'static str, hosts: Option<usize>, verdict: &budget::Verdict) {
         let budget::Verdict { granted, repeats, requests, most } = *verdict;
         let outcome = if granted { "granted" } else { "refused" };
         self.host.metrics.repeats.with_label_values(&[&self.service, outcome]).inc();
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -157,6 +157,7 @@
             endpoints: facts.records(topics::Topic::Endpoints).end(),
             process: self.process,
             cpu: self.settings.cpu,
+            known: u32::try_from(self.peers.members().known()).unwrap_or(u32::MAX),
             moves: self.digests().into_iter().map(wire::moves::Move::from).collect(),
             suspects: facts.crashes.digest().into_iter().map(wire::Suspect::from).collect(),
             ..wire::Pulse::default()
@@ -249,7 +250,7 @@
     /// Requests that this host may send to an endpoint of a service in a second, if that is bounded.
     pub fn rate(&self, cold_rate: f64) -> Option<pace::Rate> {
         let cold = self.tuning.borrow().cold;
-        let hosts = self.peers.members().count(self.clock.now()) as f64;
+        let hosts = self.peers.members().sharers(self.clock.now()) as f64;
         let bound = cold_rate * cold.overshoot + cold.slack;
         (cold_rate > 0.0).then_some(pace::Rate { cold: bound / hosts, warm: WARM })
     }
--- a/sequoiacrank-edge/src/peer/wire/mod.rs
+++ b/sequoiacrank-edge/src/peer/wire/mod.rs
@@ -113,6 +113,9 @@
     /// Requests during which endpoints crashed.
     #[prost(message, repeated, tag = "10")]
     pub suspects: Vec<Suspect>,
+    /// Number of hosts that the sender knows, itself included.
+    #[prost(uint32, tag = "11")]
+    pub known: u32,
 }
 
 /// A request during which endpoints crashed.
@@ -203,6 +206,7 @@
             heard: wire.heard,
             process: wire.process,
             cpu: wire.cpu,
+            known: wire.known,
         }
     }
 }
--- a/sequoiacrank-kernel/src/edge/budget.rs
+++ b/sequoiacrank-kernel/src/edge/budget.rs
@@ -19,9 +19,19 @@
     pub span: time::Duration,
 }
 
-/// Part of the bound that hosts use together. The rest covers hosts that join within a span, and
+/// Part of the bound that hosts use together. The rest covers hosts that do not know all others yet, and
 /// requests that are counted in the span before.
 const USED: f64 = 0.7;
+/// Time by which a repeat may arrive later than it was decided: that to connect, and a packet that is sent
+/// once more.
+const LATE: time::Duration = time::Duration::from_secs(1);
+
+impl Bound {
+    /// Time after which a repeat does not count any more.
+    pub fn memory(&self) -> time::Duration {
+        self.span + LATE
+    }
+}
 
 /// What a budget says to one more repeat, and why.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -50,11 +60,12 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one repeat out of the budget of one of `hosts` hosts, if there is one left.
-    pub fn repeat(&mut self, now: id::Time, bound: &Bound, hosts: usize) -> Verdict {
+    /// Takes one repeat out of the budget, if there is one left. The fixed part of the bound is divided among
+    /// `hosts` hosts; this one has none of it if that is `None`.
+    pub fn repeat(&mut self, now: id::Time, bound: &Bound, hosts: Option<usize>) -> Verdict {
         trim(&mut self.requests, now, bound.span);
-        trim(&mut self.repeats, now, bound.span);
-        let share = bound.slack / hosts.max(1) as f64;
+        trim(&mut self.repeats, now, bound.memory());
+        let share = hosts.map_or(0.0, |hosts| bound.slack / hosts.max(1) as f64);
         let most = USED * (bound.ratio * self.requests.len() as f64 + share);
         let granted = (self.repeats.len() as f64) + 1.0 <= most;
         if granted {
--- a/sequoiacrank-kernel/src/edge/members.rs
+++ b/sequoiacrank-kernel/src/edge/members.rs
@@ -31,6 +31,9 @@
 const LOST: time::Duration = time::Duration::from_millis(1300);
 /// Time after which a host that is not heard is forgotten.
 const FORGET: time::Duration = time::Duration::from_secs(20);
+/// Time for which a host that is not heard keeps its part of a bound over all hosts: regions lose each other
+/// for minutes, and hosts that are cut off go on to use their parts.
+const KEEPS: time::Duration = time::Duration::from_secs(15 * 60);
 /// Time for which a host is passed over that did not answer in time.
 const PASSED: time::Duration = time::Duration::from_secs(2);
 /// Time for which the other side may hear no pulse before the connection is made anew: four pulses.
@@ -51,6 +54,8 @@
     pub process: u64,
     /// Share of a core that it may use, in thousandths.
     pub cpu: u32,
+    /// Number of hosts that it knows, itself included.
+    pub known: u32,
 }
 
 #[derive(Clone, Debug)]
@@ -110,6 +115,8 @@
     news: Vec<net::SocketAddr>,
     /// Time at which the last of them was heard.
     met: Option<id::Time>,
+    /// Hosts that have a part of bounds over all hosts, with the time at which each was last named or heard.
+    parts: collections::BTreeMap<net::SocketAddr, id::Time>,
 }
 
 impl Members {
@@ -118,6 +125,7 @@
         if self.members.contains_key(&address) {
             return false;
         }
+        self.parts.insert(address, now);
         let member = Member {
             heard: None,
             since: now,
@@ -140,6 +148,7 @@
         let member = self.members.get_mut(&from)?;
         let new = !member.is_alive(now);
         member.heard = Some(now);
+        self.parts.insert(from, now);
         if !new {
             return None;
         }
@@ -179,8 +188,12 @@
         let forgotten: Vec<_> =
             self.members.iter().filter(|(_, it)| old(it)).map(|(&it, _)| it).collect();
         for address in &forgotten {
-            self.members.remove(address);
+            // One that said it leaves has ended since.
+            if self.members.remove(address).is_some_and(|member| member.signs.leaving) {
+                self.parts.remove(address);
+            }
         }
+        self.parts.retain(|_, at| now < *at + KEEPS);
         let news = std::mem::take(&mut self.news);
         let mut pulses = Vec::with_capacity(self.members.len());
         let mut silent = Vec::new();
@@ -225,10 +238,25 @@
         self.members.get(&address).filter(|it| it.is_alive(now)).map(|it| it.signs.process)
     }
 
-    /// Number of hosts that were heard lately, this one included.
-    pub fn count(&self, now: id::Time) -> usize {
+    /// Number of hosts that this one knows itself, this one included. Others that are not heard count for long.
+    pub fn known(&self) -> usize {
+        1 + self.parts.len()
+    }
+
+    /// Number of hosts among which a bound over all of them is divided, by what this host and those that it
+    /// hears know.
+    pub fn sharers(&self, now: id::Time) -> usize {
         let recent = |it: &&Member| it.heard.is_some_and(|at| now < at + FORGET);
-        1 + self.members.values().filter(recent).count()
+        let told = self.members.values().filter(recent).map(|it| it.signs.known as usize);
+        told.fold(self.known(), usize::max)
+    }
+
+    /// Number of hosts among which a bound is divided that holds in any `span`, at a time since the start of
+    /// this process. `None` while this host may use no part of it: an earlier process of it may have done so
+    /// within the span, or it has heard none of the others yet and can't know how many there are.
+    pub fn part(&self, now: id::Time, span: time::Duration) -> Option<usize> {
+        let alone = self.met.is_none() && !self.parts.is_empty();
+        (now >= span && !alone).then(|| self.sharers(now))
     }
 
     /// Asks no work of a host for a while, because it did not answer in time.
--- a/sequoiacrank-kernel/tests/edge/members.rs
+++ b/sequoiacrank-kernel/tests/edge/members.rs
@@ -184,9 +184,13 @@
     host.pass_over(site::ms(1000), address(1));
     assert_eq!(host.asked(site::ms(1100)).len(), 0);
     assert_eq!(host.alive(site::ms(2000)).len(), 0);
-    assert_eq!(host.count(site::ms(2000)), 2);
+    assert_eq!(host.sharers(site::ms(2000)), 2);
     assert_eq!(host.pulse(site::ms(21_000)).forgotten, [address(1)]);
-    assert_eq!(host.count(site::ms(21_000)), 1);
+    assert_eq!(host.alive(site::ms(21_000)).len(), 0);
+    // It may be cut off and use its part of bounds over all hosts, until long after.
+    assert_eq!(host.sharers(site::ms(21_000)), 2);
+    host.pulse(site::ms(900_200));
+    assert_eq!(host.sharers(site::ms(900_200)), 1);
 }
 
 /// A large configuration comes in force, and all other hosts tell of it with each pulse. Copies that were
@@ -221,7 +225,6 @@
 
 /// Hosts that do not hear each other for long divide the bound on repeats among as many as before.
 #[test]
-#[ignore = "known red, issue 16"]
 fn hosts_that_lose_each_other_do_not_use_more_than_the_budget_of_repeats() {
     let bound = budget::Bound { ratio: 0.2, slack: 54.0, span: site::ms(10_000) };
     let mut hosts = vec![members::Members::default(); 7];
@@ -240,10 +243,40 @@
             if now >= site::ms(50_000) {
                 requests += 1;
                 budget.request(now, &bound);
-                repeats += u32::from(budget.repeat(now, &bound, host.count(now)).granted);
+                repeats +=
+                    u32::from(budget.repeat(now, &bound, host.part(now, bound.memory())).granted);
             }
         }
     }
     let most = bound.ratio * f64::from(requests) + bound.slack;
     assert!(f64::from(repeats) <= most, "{repeats} of {most}");
 }
+
+#[test]
+fn a_host_that_left_has_no_part_of_bounds_once_it_is_forgotten() {
+    let mut host = members::Members::default();
+    host.add(site::ms(0), address(1));
+    host.hear(site::ms(100), address(1));
+    let leaving = members::Signs { leaving: true, ..members::Signs::default() };
+    host.learn(site::ms(100), address(1), leaving);
+    assert_eq!(host.sharers(site::ms(2000)), 2);
+    host.pulse(site::ms(21_000));
+    assert_eq!(host.sharers(site::ms(21_000)), 1);
+}
+
+/// A process that has just started may follow one that used its part of a bound, and knows few hosts.
+#[test]
+fn a_host_has_no_part_of_a_bound_before_its_span_is_over_or_while_it_hears_nobody() {
+    let span = site::ms(10_000);
+    let mut host = members::Members::default();
+    assert_eq!(host.part(site::ms(9_999), span), None);
+    assert_eq!(host.part(site::ms(10_000), span), Some(1));
+    host.add(site::ms(0), address(1));
+    assert_eq!(host.part(site::ms(20_000), span), None);
+    host.hear(site::ms(20_000), address(1));
+    assert_eq!(host.part(site::ms(20_000), span), Some(2));
+    // The other one knows of more that this one does not hear.
+    let signs = members::Signs { known: 7, ..members::Signs::default() };
+    host.learn(site::ms(20_100), address(1), signs);
+    assert_eq!(host.part(site::ms(20_100), span), Some(7));
+}
--- a/sequoiacrank-kernel/tests/edge/parts.rs
+++ b/sequoiacrank-kernel/tests/edge/parts.rs
@@ -105,7 +105,7 @@
         for budget in &mut budgets {
             budget.request(now, &bound);
             requests += 1;
-            repeats += u32::from(budget.repeat(now, &bound, hosts).granted);
+            repeats += u32::from(budget.repeat(now, &bound, Some(hosts)).granted);
         }
     }
     let most = bound.ratio * f64::from(requests) + bound.slack;
