Restarted hosts do not use their part of other bounds again

A host killed and started again within the second sent its share to a cold endpoint once more (54 requests, allowed 18), and each process of a host sent its share of the fixed part of the bound on a trial (150 of 150, allowed 22).

Cold endpoints, by what they say of themselves, get nothing from a process that is younger than the pace's span; others as before. A process that finds an order in the first records it reads has no share of the fixed part, and a request goes to the target only if the bound holds with it. Both tests fail without the change.

--- a/sequoiacrank-edge/src/facts.rs
+++ b/sequoiacrank-edge/src/facts.rs
@@ -91,13 +91,14 @@
                 self.back = Some(now);
             }
         }
+        let known = self.records(topic).fresh().is_some();
         let records = self.records_mut(topic);
         let changed = match whole {
             true => records.replace(page.records, page.end, at),
             false => records.merge(page.records, page.end, at),
         };
         let usable = match topic {
-            store::Topic::Operators => self.operators_changed(now, &changed),
+            store::Topic::Operators => self.operators_changed(now, &changed, known),
             _ => self.endpoints_changed(now, &changed),
         };
         if usable {
@@ -114,7 +115,7 @@
         }
     }
 
-    fn operators_changed(&mut self, now: id::Time, changed: &[String]) -> bool {
+    fn operators_changed(&mut self, now: id::Time, changed: &[String], known: bool) -> bool {
         let mut zones = false;
         let mut moves = false;
         for key in changed {
@@ -126,7 +127,7 @@
             }
         }
         if moves {
-            self.order_moves(now);
+            self.order_moves(now, known);
         }
         if zones {
             let out: map::FastSet<id::ZoneId> = self
@@ -144,7 +145,7 @@
         !changed.is_empty()
     }
 
-    fn order_moves(&mut self, now: id::Time) {
+    fn order_moves(&mut self, now: id::Time, known: bool) {
         let mut orders = map::FastMap::default();
         for (key, value) in self.operators.iter() {
             let operator::Matter::Move(service) = operator::Matter::of(key) else { continue };
@@ -157,7 +158,7 @@
                 }
             }
         }
-        self.moves.order(now, orders);
+        self.moves.order(now, orders, known);
     }
 
     fn configure(&mut self) {
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -250,9 +250,13 @@
     /// Requests that this host may send to an endpoint of a service in a second, if that is bounded.
     pub fn rate(&self, cold_rate: f64) -> Option<pace::Rate> {
         let cold = self.tuning.borrow().cold;
-        let hosts = self.peers.members().sharers(self.clock.now()) as f64;
+        let (now, members) = (self.clock.now(), self.peers.members());
         let bound = cold_rate * cold.overshoot + cold.slack;
-        (cold_rate > 0.0).then_some(pace::Rate { cold: bound / hosts, warm: WARM })
+        (cold_rate > 0.0).then(|| pace::Rate {
+            cold: bound / members.sharers(now) as f64,
+            waits: members.part(now, pace::SPAN).is_none(),
+            warm: WARM,
+        })
     }
 }
 
--- a/sequoiacrank-kernel/src/edge/fleet.rs
+++ b/sequoiacrank-kernel/src/edge/fleet.rs
@@ -101,8 +101,9 @@
 
     /// Whether it may get one more request.
     fn bears(&self, now: id::Time, rate: &pace::Rate) -> bool {
-        let cold = !self.entry.cold.is_zero() || now < self.since + NEW;
-        match cold {
+        let told = !self.entry.cold.is_zero();
+        match told || now < self.since + NEW {
+            _ if told && rate.waits => false,
             false => self.pace.allows(now, rate.warm.max(rate.cold)),
             true if rate.cold >= 1.0 => self.pace.allows(now, rate.cold),
             true => {
--- a/sequoiacrank-kernel/src/edge/moves.rs
+++ b/sequoiacrank-kernel/src/edge/moves.rs
@@ -129,6 +129,9 @@
     began: id::Time,
     phase: Phase,
     sides: comparison::Comparison,
+    /// Whether this process was there when it was ordered. An earlier one of the host may have used its part
+    /// of the fixed part of the bound otherwise.
+    witnessed: bool,
     /// Requests of this host since the order, and those of them that went to the target.
     all: u64,
     new: u64,
@@ -144,8 +147,9 @@
     }
 
     fn side(&self, hosts: usize, bound: &Bound, draw: f64) -> Side {
-        let most = bound.share * self.all as f64 + bound.slack / hosts.max(1) as f64;
-        let room = (self.new as f64) < BOUND_PART * most;
+        let fixed = if self.witnessed { bound.slack / hosts.max(1) as f64 } else { 0.0 };
+        let most = bound.share * self.all as f64 + fixed;
+        let room = (self.new + 1) as f64 <= BOUND_PART * most;
         let new = match self.phase {
             Phase::Waiting | Phase::TakenBack => false,
             Phase::Trial => room && draw < EAGER * bound.share,
@@ -189,8 +193,8 @@
 }
 
 impl Moves {
-    /// Takes over the orders that there are.
-    pub fn order(&mut self, now: id::Time, orders: map::FastMap<id::ServiceId, Order>) {
+    /// Takes over the orders that there are; `new` if this process knew those that there were before.
+    pub fn order(&mut self, now: id::Time, orders: map::FastMap<id::ServiceId, Order>, new: bool) {
         self.moves.retain(|service, _| orders.contains_key(service));
         for (service, order) in orders {
             if self.moves.get(&service).is_some_and(|it| it.order == order) {
@@ -200,6 +204,7 @@
                 order,
                 began: now,
                 phase: Phase::Waiting,
+                witnessed: new,
                 sides: comparison::Comparison::default(),
                 all: 0,
                 new: 0,
--- a/sequoiacrank-kernel/src/edge/pace.rs
+++ b/sequoiacrank-kernel/src/edge/pace.rs
@@ -10,13 +10,16 @@
 
 /// Span over which the bound holds. The platform counts requests in any one second; the tenth more
 /// covers requests that left in one second and arrived in the next.
-const SPAN: time::Duration = time::Duration::from_millis(1100);
+pub const SPAN: time::Duration = time::Duration::from_millis(1100);
 
 /// Requests that one host may send to one endpoint in a second.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Rate {
     /// To one that may be cold: a share of what it bears.
     pub cold: f64,
+    /// Whether those that say they are cold get nothing yet, as an earlier process of the host may have used
+    /// the share.
+    pub waits: bool,
     /// To any other. It may turn cold without a word, but then gets no more than usual from all hosts.
     pub warm: f64,
 }
--- a/sequoiacrank-kernel/tests/edge/fleet.rs
+++ b/sequoiacrank-kernel/tests/edge/fleet.rs
@@ -2,7 +2,9 @@
 
 use std::time;
 
+use sequoiacrank_kernel::edge::endpoint;
 use sequoiacrank_kernel::edge::fleet;
+use sequoiacrank_kernel::edge::members;
 use sequoiacrank_kernel::edge::pace;
 use sequoiacrank_kernel::map;
 
@@ -109,7 +111,7 @@
 const BORNE: f64 = 38.0;
 
 fn rate() -> pace::Rate {
-    pace::Rate { cold: BORNE / HOSTS as f64, warm: 4.0 }
+    pace::Rate { cold: BORNE / HOSTS as f64, waits: false, warm: 4.0 }
 }
 
 /// Sends `each` requests a second of sessions through many hosts. Returns the requests that left their
@@ -172,3 +174,31 @@
     fleet.register(site::ms(100_000), entry);
     assert_eq!(choose(&fleet, site::ms(110_000), 7), home);
 }
+
+/// A host is killed and starts again within the second for which its share of a cold endpoint's rate holds.
+#[test]
+fn a_host_that_restarts_within_a_second_does_not_use_its_share_of_a_cold_endpoint_twice() {
+    const SHARE: usize = 3;
+    let mut sent = 0;
+    for life in 0..3 {
+        let mut fleet = fleet();
+        let entries: Vec<_> = fleet.entries().cloned().collect();
+        for entry in entries {
+            fleet.register(site::ms(0), endpoint::Endpoint { cold: site::ms(5000), ..entry });
+        }
+        // A process learns its age from its own clock alone.
+        let waits = members::Members::default().part(site::ms(300), pace::SPAN).is_none();
+        let rate = pace::Rate { cold: SHARE as f64, waits: waits && life > 0, warm: 4.0 };
+        let want = fleet::Want { rate: Some(rate), ..fleet::Want::default() };
+        for tick in 0..30 {
+            let now = site::ms(300 + tick);
+            let chosen = fleet.choose(now, "engine", &want, tick).map(|it| it.id.clone());
+            if let Some(id) = chosen {
+                fleet.begin(now, &id);
+                sent += 1;
+            }
+        }
+    }
+    let most = ENDPOINTS * SHARE;
+    assert!(sent > 0 && sent <= most, "{sent}, allowed {most}");
+}
--- a/sequoiacrank-kernel/tests/edge/moves.rs
+++ b/sequoiacrank-kernel/tests/edge/moves.rs
@@ -56,7 +56,11 @@
         let mut hosts: Vec<_> = (0..HOSTS).map(|_| moves::Moves::default()).collect();
         let order = moves::Order { target: "v2".into(), time: TIME, offset: 3 };
         for host in &mut hosts {
-            host.order(site::ms(0), [("desk".to_owned(), order.clone())].into_iter().collect());
+            host.order(
+                site::ms(0),
+                [("desk".to_owned(), order.clone())].into_iter().collect(),
+                true,
+            );
         }
         let random = rand_chacha::ChaCha8Rng::seed_from_u64(seed);
         World {
@@ -192,7 +196,7 @@
 fn without_requests_a_move_is_taken_back_in_time() {
     let mut host = moves::Moves::default();
     let order = moves::Order { target: "v2".into(), time: TIME, offset: 3 };
-    host.order(site::ms(0), [("desk".to_owned(), order)].into_iter().collect());
+    host.order(site::ms(0), [("desk".to_owned(), order)].into_iter().collect(), true);
     host.stored("desk", "v2", moves::State::Active);
     host.tick(TIME, &rollout::Sequential);
     assert_eq!(host.due(TIME, |_, _| 0, &[])[0].state, moves::State::Reverted);
@@ -206,7 +210,7 @@
     let digest = world.hosts[0].digests(site::ms(10_000), |_, _| 0).remove(0);
     let mut new = moves::Moves::default();
     let order = moves::Order { target: "v2".into(), time: TIME, offset: 3 };
-    new.order(site::ms(50), [("desk".to_owned(), order)].into_iter().collect());
+    new.order(site::ms(50), [("desk".to_owned(), order)].into_iter().collect(), false);
     let side = |host: &moves::Moves| host.side("desk", HOSTS, &BOUND, 0.0).expect("a side");
     assert!(!side(&new).new && !side(&new).strict);
     new.learn(site::ms(60), address(0), &digest);
@@ -223,7 +227,7 @@
     world.run(time::Duration::from_secs(25));
     let mut host = moves::Moves::default();
     let order = moves::Order { target: "v2".into(), time: TIME, offset: 3 };
-    host.order(site::ms(0), [("desk".to_owned(), order)].into_iter().collect());
+    host.order(site::ms(0), [("desk".to_owned(), order)].into_iter().collect(), true);
     host.stored("desk", "v2", moves::State::Active);
     let mut digest = world.hosts[1].digests(site::ms(25_000), |_, _| 1).remove(0);
     digest.phase = moves::Phase::Moved;
@@ -235,3 +239,25 @@
     host.learn(site::ms(25_400), address(1), &digest);
     assert_eq!(due(&host, 25_400)[0].state, moves::State::Completed);
 }
+
+/// Each process of a host that restarted in series sent its share of the fixed part of the bound.
+#[test]
+fn a_host_that_restarts_in_series_keeps_to_the_bound_on_a_version_on_trial() {
+    let order = moves::Order { target: "v2".into(), time: TIME, offset: 3 };
+    let (mut all, mut new) = (0, 0);
+    for life in 0..30 {
+        let mut host = moves::Moves::default();
+        let orders = [("desk".to_owned(), order.clone())].into_iter().collect();
+        host.order(site::ms(0), orders, life == 0);
+        host.stored("desk", "v2", moves::State::Active);
+        for _ in 0..5 {
+            let side = host.side("desk", HOSTS, &BOUND, 0.0).expect("a side");
+            let version = if side.holds("v2") { "v2" } else { "v1" };
+            host.sent("desk", version);
+            all += 1;
+            new += u32::from(version == "v2");
+        }
+    }
+    let most = BOUND.share * f64::from(all) + BOUND.slack / HOSTS as f64;
+    assert!(f64::from(new) <= most, "{new} of {all}, allowed {most}");
+}
