A 421 tells that the endpoint which was meant has ended

Callers saw endpoints crash again and again for one request: a crash counts once the endpoint is found to be down, which a refused connection, a new start or a lapsed registration told. Real processes are back at their address before anybody connects, under another name, and the old registration lapses after 3.6 s at least, so that the crash was often never counted.

a_request_that_crashes_endpoints_which_are_back_at_once_is_refused fails before (200, the request ran a fourth time) and passes.

--- a/sequoiacrank-edge/src/exchange/send.rs
+++ b/sequoiacrank-edge/src/exchange/send.rs
@@ -88,6 +88,10 @@
         match marks {
             call::Answer { refused: true, moved, .. } => {
                 log::warn!(target: "request", id, endpoint, status, took; "endpoint refused");
+                if moved {
+                    // Another one has its address, so it has ended.
+                    self.note_down(endpoint);
+                }
                 flight.end(if moved { fleet::End::Other } else { fleet::End::Full });
                 Err(exchange::Miss::Refused(head.status))
             }
@@ -136,19 +140,24 @@
 
     /// Notes what the end of a send says of the request and of its endpoint.
     fn note_crash(&self, endpoint: &str, end: fleet::End, err: &client::Error) {
-        let now = self.host.clock.now();
         match err {
             client::Error::Connect(err) if err.kind() == io::ErrorKind::ConnectionRefused => {
-                let requests = self.host.facts.borrow_mut().crashes.down(now, endpoint);
-                if requests > 0 {
-                    log::info!(target: "endpoints", endpoint, requests; "crashed");
-                }
+                self.note_down(endpoint);
             }
             _ if end == fleet::End::Broken => self.broke(endpoint),
             _ => {}
         }
     }
 
+    /// Notes that an endpoint has ended.
+    fn note_down(&self, endpoint: &str) {
+        let now = self.host.clock.now();
+        let requests = self.host.facts.borrow_mut().crashes.down(now, endpoint);
+        if requests > 0 {
+            log::info!(target: "endpoints", endpoint, requests; "crashed");
+        }
+    }
+
     /// Notes that a connection broke while an endpoint ran the request.
     pub fn broke(&self, endpoint: &str) {
         let now = self.host.clock.now();
