A young process earns its part of a bound by the time that it lives

All processes of a host together live no longer than a span within a span, so that each may use what it has earned: four tenths of the part over a whole span, which with the whole part of the process before them is what the unused three tenths of the bound cover. processes_of_one_host_do_not_use_more_than_its_part_of_the_budget_together plays lives of 0.1 to 15 s against that.

Tests of plain requests start their host with a span of half a second for the bound, in which it earns its part before it is ready; what they assert is unchanged.

--- a/sequoiacrank-edge/src/exchange/repeat.rs
+++ b/sequoiacrank-edge/src/exchange/repeat.rs
@@ -1,6 +1,7 @@
 //! Leave to send a request: once for nothing, then out of the budget of repeats.
 
 use sequoiacrank_kernel::edge::budget;
+use sequoiacrank_kernel::edge::members;
 
 use crate::exchange;
 use crate::host;
@@ -28,21 +29,22 @@
     fn repeat(&self, why: &'static str) -> bool {
         let now = self.host.clock.now();
         let bound = self.host.tuning.borrow().retries;
-        let hosts = self.host.peers.members().part(now, bound.memory());
+        let part = self.host.peers.members().part(now, bound.memory());
         let mut facts = self.host.facts.borrow_mut();
         let budget = facts.budgets.entry(self.service.clone()).or_default();
-        let verdict = budget.repeat(now, &bound, hosts);
+        let verdict = budget.repeat(now, &bound, &part);
         drop(facts);
-        self.note_repeat(why, hosts, &verdict);
+        self.note_repeat(why, &part, &verdict);
         verdict.granted
     }
 
-    fn note_repeat(&self, why: &'static str, hosts: Option<usize>, verdict: &budget::Verdict) {
+    fn note_repeat(&self, why: &'static str, part: &members::Part, verdict: &budget::Verdict) {
         let budget::Verdict { granted, repeats, requests, most } = *verdict;
         let outcome = if granted { "granted" } else { "refused" };
         self.host.metrics.repeats.with_label_values(&[&self.service, outcome]).inc();
         let (id, service) = (self.head.attempt.as_str(), self.service.as_str());
         let (sends, age) = (self.sends.get(), host::millis(self.host.clock.now()));
-        log::info!(target: "request", id, service, why, granted, sends, repeats, requests, most, hosts, age; "repeat");
+        let members::Part { hosts, earned } = *part;
+        log::info!(target: "request", id, service, why, granted, sends, repeats, requests, most, hosts, earned, age; "repeat");
     }
 }
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -254,7 +254,7 @@
         let bound = cold_rate * cold.overshoot + cold.slack;
         (cold_rate > 0.0).then(|| pace::Rate {
             cold: bound / members.sharers(now) as f64,
-            waits: members.part(now, pace::SPAN).is_none(),
+            waits: members.part(now, pace::SPAN).earned < 1.0,
             warm: WARM,
         })
     }
--- a/sequoiacrank-kernel/src/edge/budget.rs
+++ b/sequoiacrank-kernel/src/edge/budget.rs
@@ -6,6 +6,7 @@
 use std::collections;
 use std::time;
 
+use crate::edge::members;
 use crate::id;
 
 /// The bound that all hosts keep together.
@@ -19,8 +20,8 @@
     pub span: time::Duration,
 }
 
-/// Part of the bound that hosts use together. The rest covers hosts that do not know all others yet, and
-/// requests that are counted in the span before.
+/// Part of the bound that hosts use together. The rest covers what processes earn behind others of their
+/// host, hosts that do not know all others yet, and requests that are counted in the span before.
 const USED: f64 = 0.7;
 /// Time by which a repeat may arrive later than it was decided: that to connect, and a packet that is sent
 /// once more.
@@ -60,13 +61,12 @@
         self.requests.push_back(now);
     }
 
-    /// Takes one repeat out of the budget, if there is one left. The fixed part of the bound is divided among
-    /// `hosts` hosts; this one has none of it if that is `None`.
-    pub fn repeat(&mut self, now: id::Time, bound: &Bound, hosts: Option<usize>) -> Verdict {
+    /// Takes one repeat out of the budget, if there is one left. `part` is that of this host in the fixed part
+    /// of the bound.
+    pub fn repeat(&mut self, now: id::Time, bound: &Bound, part: &members::Part) -> Verdict {
         trim(&mut self.requests, now, bound.span);
         trim(&mut self.repeats, now, bound.memory());
-        let share = hosts.map_or(0.0, |hosts| bound.slack / hosts.max(1) as f64);
-        let most = USED * (bound.ratio * self.requests.len() as f64 + share);
+        let most = USED * (bound.ratio * self.requests.len() as f64 + part.of(bound.slack));
         let granted = (self.repeats.len() as f64) + 1.0 <= most;
         if granted {
             self.repeats.push_back(now);
--- a/sequoiacrank-kernel/src/edge/members.rs
+++ b/sequoiacrank-kernel/src/edge/members.rs
@@ -34,6 +34,9 @@
 /// Time for which a host that is not heard keeps its part of a bound over all hosts: regions lose each other
 /// for minutes, and hosts that are cut off go on to use their parts.
 const KEEPS: time::Duration = time::Duration::from_secs(15 * 60);
+/// Share of its part of a bound that a process earns until it is as old as the bound's span. One before it may
+/// have used a whole part in the same span; the budget leaves three tenths of its bound unused for that.
+const EARNED: f64 = 0.4;
 /// Time for which a host is passed over that did not answer in time.
 const PASSED: time::Duration = time::Duration::from_secs(2);
 /// Time for which the other side may hear no pulse before the connection is made anew: four pulses.
@@ -58,6 +61,22 @@
     pub known: u32,
 }
 
+/// The part of a host in a bound over all hosts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Part {
+    /// Hosts among which the bound is divided.
+    pub hosts: usize,
+    /// How much of its part the host may use, from 0 to 1.
+    pub earned: f64,
+}
+
+impl Part {
+    /// What this host may use of a bound.
+    pub fn of(&self, bound: f64) -> f64 {
+        self.earned * bound / self.hosts.max(1) as f64
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Member {
     /// Time of the last message.
@@ -251,12 +270,18 @@
         told.fold(self.known(), usize::max)
     }
 
-    /// Number of hosts among which a bound is divided that holds in any `span`, at a time since the start of
-    /// this process. `None` while this host may use no part of it: an earlier process of it may have done so
-    /// within the span, or it has heard none of the others yet and can't know how many there are.
-    pub fn part(&self, now: id::Time, span: time::Duration) -> Option<usize> {
+    /// The part of this host in a bound that holds in any `span`, at a time since the start of this process.
+    /// Earlier processes of the host may have used theirs within the span, so that it is earned by the time
+    /// that a process lives: all of them together live no longer than the span.
+    pub fn part(&self, now: id::Time, span: time::Duration) -> Part {
         let alone = self.met.is_none() && !self.parts.is_empty();
-        (now >= span && !alone).then(|| self.sharers(now))
+        let earned = match now >= span {
+            // It can't know how many hosts there are.
+            _ if alone => 0.0,
+            true => 1.0,
+            false => EARNED * now.as_secs_f64() / span.as_secs_f64(),
+        };
+        Part { hosts: self.sharers(now), earned }
     }
 
     /// Asks no work of a host for a while, because it did not answer in time.
