Results of stage work reach the request that asked for them, and no other

Callers got answers that were computed from other callers' records when hosts restarted in series.

Cause: asks were numbered from zero in each process, and answers are addressed to a host. A process that started again at the address took the end of its predecessor's work for its own. Class: a match by a name that a later process bears again.

Change: tickets are drawn; an end names its request, which whoever asked compares; every frame names the sender's process, and what an ended process sent is dropped and logged if its successor was heard; batchers end the work of processes that have ended and of hosts that they do not hear; counts of crashes and evidence of moves are kept by process. Items of a stage call and the pieces noted for it are made together.

--- a/sequoiacrank-edge/src/batcher.rs
+++ b/sequoiacrank-edge/src/batcher.rs
@@ -1,7 +1,6 @@
 //! Carries out what the board of stage work decides: calls, answers to those who asked, and frees.
 
 use std::cell;
-use std::net;
 use std::rc;
 use std::time;
 
@@ -17,6 +16,7 @@
 use crate::client;
 use crate::facts;
 use crate::host;
+use crate::peer;
 use crate::peer::wire;
 
 /// Time within which an endpoint frees results.
@@ -26,8 +26,18 @@
 enum Owner {
     /// This host; gets the results, or nothing if it can't be done.
     Own(oneshot::Sender<Option<Vec<stage::Handle>>>),
-    /// Another host, and its name for the work.
-    Other(net::SocketAddr, u64),
+    /// A process of another host.
+    Other(Asker),
+}
+
+/// What a process of another host asked for.
+#[derive(Clone, Debug)]
+struct Asker {
+    sender: peer::Sender,
+    /// Its name for the work.
+    ticket: u64,
+    /// The request that it asked for.
+    request: String,
 }
 
 /// Stage work that this host forms into calls.
@@ -35,8 +45,10 @@
 pub struct Batcher {
     /// Boards by batcher; a board's number is its place.
     boards: cell::RefCell<Vec<(shard::Shard, stage::Board)>>,
+    /// Who waits for the end of a run.
     owners: cell::RefCell<map::FastMap<stage::RunId, Owner>>,
-    tickets: cell::RefCell<map::FastMap<(net::SocketAddr, u64), stage::RunId>>,
+    /// Runs of other hosts until they are released.
+    tickets: cell::RefCell<map::FastMap<(peer::Sender, u64), stage::RunId>>,
     work: Notify,
 }
 
@@ -98,14 +110,15 @@
     }
 
     /// Takes on work of another host, or refuses it.
-    pub fn asked(&self, host: &rc::Rc<host::Host>, from: net::SocketAddr, wire: wire::Ask) {
+    pub fn asked(&self, host: &rc::Rc<host::Host>, from: peer::Sender, wire: wire::Ask) {
         let now = host.clock.now();
         let ticket = wire.ticket;
         let shard = wire.shard.clone();
+        let asker = Asker { sender: from, ticket, request: wire.request.clone() };
         let verdict = self.decide(host, &shard, crate::stages::decode(now, wire));
         let body = match verdict {
             stage::Verdict::Taken { run, .. } => {
-                self.owners.borrow_mut().insert(run, Owner::Other(from, ticket));
+                self.owners.borrow_mut().insert(run, Owner::Other(asker));
                 self.tickets.borrow_mut().insert((from, ticket), run);
                 wire::Body::Taken(wire::Ticket { ticket })
             }
@@ -113,7 +126,7 @@
                 wire::Body::Refused(wire::Refused { ticket, after: host::millis(after) })
             }
         };
-        host.peers.send(host, from, body);
+        host.peers.send(host, from.address, body);
         self.pump(host);
     }
 
@@ -138,13 +151,42 @@
     }
 
     /// Gives up work of another host, or frees its results.
-    pub fn released(&self, host: &rc::Rc<host::Host>, from: net::SocketAddr, ticket: u64) {
+    pub fn released(&self, host: &rc::Rc<host::Host>, from: peer::Sender, ticket: u64) {
         let run = self.tickets.borrow_mut().remove(&(from, ticket));
         if let Some(run) = run {
             self.release(host, run);
         }
     }
 
+    /// Gives up the work of processes that have ended: a later one was heard at their address.
+    pub fn restarted(&self, host: &rc::Rc<host::Host>, now: peer::Sender) {
+        let ended = |it: &peer::Sender| it.address == now.address && it.process != now.process;
+        self.abandon(host, "restarted", ended);
+    }
+
+    /// Gives up the work of hosts that are not heard any more. They are told, as they may hear this one.
+    pub fn sweep(&self, host: &rc::Rc<host::Host>) {
+        let now = host.clock.now();
+        self.abandon(host, "not heard", |it| !host.peers.members().is_alive(now, it.address));
+    }
+
+    fn abandon<F>(&self, host: &rc::Rc<host::Host>, why: &'static str, is_gone: F)
+    where
+        F: Fn(&peer::Sender) -> bool,
+    {
+        let gone: Vec<_> = {
+            let mut tickets = self.tickets.borrow_mut();
+            tickets.extract_if(|(sender, _), _| is_gone(sender)).collect()
+        };
+        for ((sender, ticket), run) in gone {
+            let other = sender.to_string();
+            log::info!(target: "stage", other = other.as_str(), ticket, run, why; "work of a host given up");
+            self.release(host, run);
+            let failed = wire::Body::Failed(wire::Ticket { ticket });
+            host.peers.send(host, sender.address, failed);
+        }
+    }
+
     /// Number of requests whose stage work is here.
     pub fn len(&self) -> usize {
         self.boards.borrow().iter().map(|(_, board)| board.len()).sum()
@@ -181,18 +223,18 @@
                 let _ = sender.send(results);
                 return;
             }
-            Some(Owner::Other(address, ticket)) => (address, ticket),
+            Some(Owner::Other(asker)) => asker,
             None => return,
         };
-        let (address, ticket) = other;
+        let Asker { sender, ticket, request } = other;
         let body = match results {
-            Some(results) => wire::Body::Ready(wire::Ready { ticket, results }),
+            Some(results) => wire::Body::Ready(wire::Ready { ticket, results, request }),
             None => {
-                self.tickets.borrow_mut().remove(&other);
+                self.tickets.borrow_mut().remove(&(sender, ticket));
                 wire::Body::Failed(wire::Ticket { ticket })
             }
         };
-        host.peers.send(host, address, body);
+        host.peers.send(host, sender.address, body);
     }
 }
 
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -73,7 +73,7 @@
 /// The state of a host.
 pub struct Host {
     /// Names this process to other hosts.
-    process: u64,
+    pub process: id::Incarnation,
     /// Settings as of the start; addresses and names hold until the process ends.
     pub settings: edge::Settings,
     /// Settings that a reload changes.
@@ -155,7 +155,6 @@
             leaving: self.stop.is_leaving(),
             operators: facts.records(topics::Topic::Operators).end(),
             endpoints: facts.records(topics::Topic::Endpoints).end(),
-            process: self.process,
             cpu: self.settings.cpu,
             known: u32::try_from(self.peers.members().known()).unwrap_or(u32::MAX),
             moves: self.digests().into_iter().map(wire::moves::Move::from).collect(),
@@ -165,7 +164,8 @@
     }
 
     /// Takes over a pulse of another host.
-    pub fn heard(self: &rc::Rc<Self>, from: net::SocketAddr, pulse: &wire::Pulse) {
+    pub fn heard(self: &rc::Rc<Self>, sender: peer::Sender, pulse: &wire::Pulse) {
+        let from = sender.address;
         self.peers.learn(self, from, members::Signs::from(pulse));
         for host in &pulse.hosts {
             if let Ok(address) = host.parse() {
@@ -176,9 +176,9 @@
             let suspects: Vec<_> =
                 pulse.suspects.iter().copied().map(message::Suspect::from).collect();
             let now = self.clock.now();
-            self.facts.borrow_mut().crashes.learn(now, &from.to_string(), &suspects);
+            self.facts.borrow_mut().crashes.learn(now, &sender.to_string(), &suspects);
         }
-        self.take_digests(from, &pulse.moves);
+        self.take_digests(sender, &pulse.moves);
         // Both topics are followed at the store as well; what another host has newer than that shows that
         // the store can't be reached from here, or answers late.
         self.fetch(from, false, pulse.operators);
@@ -308,6 +308,7 @@
             host.peers.add(&host, seed);
         }
         host.peers.pulse(&host);
+        host.batcher.sweep(&host);
         tokio::time::sleep(members::pause(host.clock.now())).await;
     }
 }
--- a/sequoiacrank-edge/src/moves.rs
+++ b/sequoiacrank-edge/src/moves.rs
@@ -1,6 +1,5 @@
 //! Moves of services to new versions: what hosts tell each other of them, and what the store is told.
 
-use std::net;
 use std::rc;
 use std::time;
 
@@ -10,6 +9,7 @@
 use sequoiacrank_kernel::rollout;
 
 use crate::host;
+use crate::peer;
 use crate::peer::wire;
 use crate::stages;
 use crate::store;
@@ -26,11 +26,12 @@
     }
 
     /// Takes over what another host says of moves.
-    pub fn take_digests(&self, from: net::SocketAddr, digests: &[wire::moves::Move]) {
+    pub fn take_digests(&self, from: peer::Sender, digests: &[wire::moves::Move]) {
         let now = self.clock.now();
         let mut facts = self.facts.borrow_mut();
         for digest in digests {
-            facts.moves.learn(now, from, &moves::Digest::from(digest));
+            let digest = moves::Digest::from(digest);
+            facts.moves.learn(now, from.address, &from.to_string(), &digest);
         }
     }
 }
--- a/sequoiacrank-edge/src/peer/mod.rs
+++ b/sequoiacrank-edge/src/peer/mod.rs
@@ -7,6 +7,7 @@
 
 use std::cell;
 use std::collections;
+use std::fmt;
 use std::net;
 use std::rc;
 use std::time;
@@ -30,6 +31,21 @@
 /// Time between two attempts to connect.
 const AGAIN: time::Duration = time::Duration::from_millis(200);
 
+/// The process that sent a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Sender {
+    /// Address at which it listens for other hosts; a later process may have it.
+    pub address: net::SocketAddr,
+    /// Tells it from other processes at the address.
+    pub process: id::Incarnation,
+}
+
+impl fmt::Display for Sender {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {:016x}", self.address, self.process)
+    }
+}
+
 struct Link {
     sender: mpsc::UnboundedSender<wire::Frame>,
     task: task::JoinHandle<()>,
@@ -62,7 +78,8 @@
     /// Sends a message, if the host is known.
     pub fn send(&self, host: &host::Host, to: net::SocketAddr, body: wire::Body) {
         if let Some(link) = self.links.borrow().get(&to) {
-            let frame = wire::Frame { from: host.settings.peer.to_string(), body: Some(body) };
+            let (from, process) = (host.settings.peer.to_string(), host.process);
+            let frame = wire::Frame { from, process, body: Some(body) };
             // Fails only while the connection is made anew; whoever waits for an answer asks again.
             let _ = link.sender.send(frame);
         }
@@ -118,6 +135,17 @@
         }
     }
 
+    /// Tells the process that sent a message on a connection from others at its address.
+    fn life(&self, sender: Sender, connection: u64) -> members::Life {
+        let Sender { address, process } = sender;
+        let life = self.members.borrow_mut().life(address, process, connection);
+        if life == members::Life::New {
+            let other = sender.to_string();
+            log::info!(target: "hosts", other = other.as_str(); "new process");
+        }
+        life
+    }
+
     /// Notes a message of a host.
     fn hear(&self, host: &host::Host, from: net::SocketAddr) {
         let introduction = self.members.borrow_mut().hear(host.clock.now(), from);
@@ -193,9 +221,13 @@
 
 /// Takes messages of other hosts.
 pub async fn listen(host: rc::Rc<host::Host>, listener: TcpListener) {
+    let mut connection = 0;
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => drop(task::spawn_local(read(host.clone(), stream))),
+            Ok((stream, _)) => {
+                connection += 1;
+                task::spawn_local(read(host.clone(), stream, connection));
+            }
             Err(err) => {
                 log::warn!(target: "hosts", err = err.to_string().as_str(); "accept failed");
                 tokio::time::sleep(AGAIN).await;
@@ -204,14 +236,14 @@
     }
 }
 
-async fn read(host: rc::Rc<host::Host>, mut stream: TcpStream) {
+async fn read(host: rc::Rc<host::Host>, mut stream: TcpStream, connection: u64) {
     let mut buffer = BytesMut::new();
     if client::guard(&stream).is_err() {
         return;
     }
     loop {
         match wire::decode(&mut buffer) {
-            Ok(Some(frame)) => receive(&host, frame),
+            Ok(Some(frame)) => receive(&host, frame, connection),
             Ok(None) => match stream.read_buf(&mut buffer).await {
                 Ok(0) | Err(_) => return,
                 Ok(_) => {}
@@ -224,16 +256,26 @@
     }
 }
 
-fn receive(host: &rc::Rc<host::Host>, frame: wire::Frame) {
-    let Ok(from) = frame.from.parse() else { return };
-    host.peers.add(host, from);
-    host.peers.hear(host, from);
+fn receive(host: &rc::Rc<host::Host>, frame: wire::Frame, connection: u64) {
+    let Ok(address) = frame.from.parse() else { return };
+    let sender = Sender { address, process: frame.process };
+    host.peers.add(host, address);
+    match host.peers.life(sender, connection) {
+        members::Life::Same => {}
+        members::Life::New => host.batcher.restarted(host, sender),
+        members::Life::Ended => {
+            let other = sender.to_string();
+            log::info!(target: "hosts", other = other.as_str(); "message of an ended process dropped");
+            return;
+        }
+    }
+    host.peers.hear(host, address);
     match frame.body {
-        Some(wire::Body::Pulse(pulse)) => host.heard(from, &pulse),
-        Some(wire::Body::Fetch(fetch)) => host.give(from, &fetch),
-        Some(wire::Body::Records(records)) => host.take(from, records),
-        Some(wire::Body::Ask(ask)) => host.batcher.asked(host, from, ask),
-        Some(wire::Body::Release(ticket)) => host.batcher.released(host, from, ticket.ticket),
+        Some(wire::Body::Pulse(pulse)) => host.heard(sender, &pulse),
+        Some(wire::Body::Fetch(fetch)) => host.give(address, &fetch),
+        Some(wire::Body::Records(records)) => host.take(address, records),
+        Some(wire::Body::Ask(ask)) => host.batcher.asked(host, sender, ask),
+        Some(wire::Body::Release(ticket)) => host.batcher.released(host, sender, ticket.ticket),
         Some(wire::Body::Taken(ticket)) => host.stages.taken(&ticket),
         Some(wire::Body::Refused(refused)) => host.stages.refused(refused),
         Some(wire::Body::Ready(ready)) => host.stages.ready(ready),
--- a/sequoiacrank-edge/src/peer/wire/mod.rs
+++ b/sequoiacrank-edge/src/peer/wire/mod.rs
@@ -43,6 +43,9 @@
     /// Address at which the sender listens for other hosts.
     #[prost(string, tag = "1")]
     pub from: String,
+    /// Drawn at the start of the sender's process.
+    #[prost(fixed64, tag = "11")]
+    pub process: u64,
     /// What it says.
     #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10")]
     pub body: Option<Body>,
@@ -101,9 +104,6 @@
     /// Number of the last pulse that the sender got from the receiver.
     #[prost(uint64, tag = "6")]
     pub heard: u64,
-    /// Drawn at the start of the sender's process.
-    #[prost(uint64, tag = "7")]
-    pub process: u64,
     /// Share of a core that the sender may use, in thousandths.
     #[prost(uint32, tag = "8")]
     pub cpu: u32,
@@ -204,7 +204,6 @@
             leaving: wire.leaving,
             number: wire.number,
             heard: wire.heard,
-            process: wire.process,
             cpu: wire.cpu,
             known: wire.known,
         }
@@ -226,7 +225,7 @@
 /// Asks for stage work. Times are in milliseconds from now.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Ask {
-    /// Names the work to the sender.
+    /// Names the work to the sender; drawn, so that no later process of its host uses it again.
     #[prost(uint64, tag = "1")]
     pub ticket: u64,
     /// The request's own id.
@@ -295,6 +294,9 @@
     /// Results of the last stages.
     #[prost(string, repeated, tag = "2")]
     pub results: Vec<String>,
+    /// The request that they are for.
+    #[prost(string, tag = "3")]
+    pub request: String,
 }
 
 /// Names stage work.
--- a/sequoiacrank-edge/src/stages.rs
+++ b/sequoiacrank-edge/src/stages.rs
@@ -26,14 +26,13 @@
 enum Word {
     Taken,
     Refused(time::Duration),
-    Ready(Vec<stage::Handle>),
+    Ready(wire::Ready),
     Failed,
 }
 
 /// Stage work that this host asked others for.
 #[derive(Default)]
 pub struct Stages {
-    next: cell::Cell<u64>,
     waiting: cell::RefCell<map::FastMap<u64, mpsc::UnboundedSender<Word>>>,
 }
 
@@ -74,9 +73,13 @@
 
 impl Stages {
     fn say(&self, ticket: u64, word: Word) {
-        if let Some(sender) = self.waiting.borrow().get(&ticket) {
+        match self.waiting.borrow().get(&ticket) {
             // Whoever asked may have gone; then it gives the work up.
-            let _ = sender.send(word);
+            Some(sender) => drop(sender.send(word)),
+            None => {
+                // Of work that was given up, or that an earlier process of this host asked for.
+                log::info!(target: "stage", ticket; "answer to nobody dropped");
+            }
         }
     }
 
@@ -92,7 +95,7 @@
 
     /// Work is done.
     pub fn ready(&self, ready: wire::Ready) {
-        self.say(ready.ticket, Word::Ready(ready.results));
+        self.say(ready.ticket, Word::Ready(ready));
     }
 
     /// Work can't be done.
@@ -181,8 +184,7 @@
     ask: &stage::Ask,
     address: net::SocketAddr,
 ) -> Option<Result<Results, Refusal>> {
-    let ticket = host.stages.next.get() + 1;
-    host.stages.next.set(ticket);
+    let ticket = rand::random();
     let (sender, mut words) = mpsc::unbounded_channel();
     host.stages.waiting.borrow_mut().insert(ticket, sender);
     let place = Place::There(address, ticket);
@@ -197,10 +199,15 @@
             Ok(Some(Word::Taken)) => taken = true,
             Ok(Some(Word::Refused(after))) => return Some(Err(Refusal::Late(after))),
             Ok(Some(Word::Failed)) => return Some(Err(Refusal::Failed)),
-            Ok(Some(Word::Ready(handles))) => {
-                results.handles = handles;
+            Ok(Some(Word::Ready(ready))) if ready.request == ask.request => {
+                results.handles = ready.results;
                 return Some(Ok(results));
             }
+            Ok(Some(Word::Ready(ready))) => {
+                let (id, other) = (ask.request.as_str(), ready.request.as_str());
+                log::error!(target: "stage", id, ticket, other; "results of another request dropped");
+                return Some(Err(Refusal::Failed));
+            }
             Ok(None) => return None,
             Err(_) if host.clock.now() >= ask.deadline => return Some(Err(Refusal::Failed)),
             Err(_)
--- a/sequoiacrank-kernel/src/edge/members.rs
+++ b/sequoiacrank-kernel/src/edge/members.rs
@@ -53,8 +53,6 @@
     pub number: u64,
     /// Number of the last pulse that it got from this host.
     pub heard: u64,
-    /// Drawn at the start of its process.
-    pub process: u64,
     /// Share of a core that it may use, in thousandths.
     pub cpu: u32,
     /// Number of hosts that it knows, itself included.
@@ -77,8 +75,21 @@
     }
 }
 
+/// What a message tells of the process that sent it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Life {
+    /// It is the one that was heard before.
+    Same,
+    /// It is a later one, or the first that is heard: it knows nothing of what others did.
+    New,
+    /// It has ended; a later one was heard at its address.
+    Ended,
+}
+
 #[derive(Clone, Debug)]
 struct Member {
+    /// Process that was heard last, with the number of the latest connection that it made.
+    life: Option<(id::Incarnation, u64)>,
     /// Time of the last message.
     heard: Option<id::Time>,
     /// When it was first named.
@@ -146,6 +157,7 @@
         }
         self.parts.insert(address, now);
         let member = Member {
+            life: None,
             heard: None,
             since: now,
             passed: id::Time::ZERO,
@@ -161,6 +173,30 @@
         Pulse { to, number: self.number, heard: 0, names: Vec::new() }
     }
 
+    /// Tells the process that sent a message from others at its address. Connections are numbered as they were
+    /// accepted: a process that has ended made its own before a later one did, but what it sent may be read
+    /// after.
+    pub fn life(
+        &mut self,
+        from: net::SocketAddr,
+        process: id::Incarnation,
+        connection: u64,
+    ) -> Life {
+        let Some(member) = self.members.get_mut(&from) else { return Life::Same };
+        let (life, last) = match member.life {
+            Some((known, last)) if known == process => (Life::Same, last.max(connection)),
+            Some((_, last)) if connection < last => return Life::Ended,
+            _ => (Life::New, connection),
+        };
+        member.life = Some((process, last));
+        life
+    }
+
+    /// Whether a host is heard.
+    pub fn is_alive(&self, now: id::Time, address: net::SocketAddr) -> bool {
+        self.members.get(&address).is_some_and(|member| member.is_alive(now))
+    }
+
     /// Notes a message of a host. Returns the pulse that introduces the others to it, if it was not heard
     /// before.
     pub fn hear(&mut self, now: id::Time, from: net::SocketAddr) -> Option<Pulse> {
@@ -253,8 +289,8 @@
     }
 
     /// Names the process of a host that is heard; a restarted one knows nothing of before.
-    pub fn process(&self, now: id::Time, address: net::SocketAddr) -> Option<u64> {
-        self.members.get(&address).filter(|it| it.is_alive(now)).map(|it| it.signs.process)
+    pub fn process(&self, now: id::Time, address: net::SocketAddr) -> Option<id::Incarnation> {
+        self.members.get(&address).filter(|it| it.is_alive(now)).and_then(|it| Some(it.life?.0))
     }
 
     /// Number of hosts that this one knows itself, this one included. Others that are not heard count for long.
--- a/sequoiacrank-kernel/src/edge/moves.rs
+++ b/sequoiacrank-kernel/src/edge/moves.rs
@@ -278,8 +278,9 @@
         digests.collect()
     }
 
-    /// Takes over what another host says.
-    pub fn learn(&mut self, now: id::Time, from: net::SocketAddr, digest: &Digest) {
+    /// Takes over what another host says. `process` names the process that says it: each counts its calls from
+    /// zero.
+    pub fn learn(&mut self, now: id::Time, from: net::SocketAddr, process: &str, digest: &Digest) {
         let Some(it) = self.moves.get_mut(&digest.service) else { return };
         if it.order.offset != digest.offset {
             return;
@@ -287,7 +288,7 @@
         it.began = it.began.min(now.saturating_sub(digest.age));
         it.digests.insert(from, (digest.phase, digest.old));
         for told in &digest.evidence {
-            it.sides.learn(&from.to_string(), told);
+            it.sides.learn(process, told);
         }
         self.reach(&digest.service, digest.phase, "told by another host");
     }
--- a/sequoiacrank-kernel/src/edge/stage.rs
+++ b/sequoiacrank-kernel/src/edge/stage.rs
@@ -399,18 +399,19 @@
     fn dispatch(&mut self, now: id::Time, service: &str) -> bool {
         let Some(lane) = self.lanes.get_mut(service) else { return false };
         let Some((endpoint, pieces)) = lane.fill(now) else { return false };
-        let mut items = Vec::with_capacity(pieces.len());
-        for piece in &pieces {
-            let Some(run) = self.runs.get(&piece.run) else { continue };
-            let stage = piece.stage;
-            items.push(Item {
+        // Outcomes come back in the order of the items, so that each item needs its piece.
+        let item = |piece: lane::Piece| {
+            let run = self.runs.get(&piece.run)?;
+            let item = Item {
                 request: run.ask.request.clone(),
-                stage,
+                stage: piece.stage,
                 piece: piece.number,
                 remaining: run.ask.deadline.saturating_sub(now),
-                input: run.input(stage),
-            });
-        }
+                input: run.input(piece.stage),
+            };
+            Some((piece, item))
+        };
+        let (pieces, items): (Vec<_>, Vec<_>) = pieces.into_iter().filter_map(item).unzip();
         self.next += 1;
         let call = self.next;
         let expected = lane.expected(pieces.len());
--- a/sequoiacrank-kernel/tests/edge/members.rs
+++ b/sequoiacrank-kernel/tests/edge/members.rs
@@ -312,3 +312,18 @@
         assert!(most as f64 <= bound.slack && most > 0, "lives of {life} ms: {most}");
     }
 }
+
+/// What a process sent before it ended may be read after what the next one at its address sent.
+#[test]
+fn messages_of_a_process_that_has_ended_are_told_from_those_of_the_next_one() {
+    let mut host = members::Members::default();
+    host.add(site::ms(0), address(1));
+    assert_eq!(host.life(address(1), 70, 1), members::Life::New);
+    assert_eq!(host.life(address(1), 70, 1), members::Life::Same);
+    assert_eq!(host.life(address(1), 71, 4), members::Life::New);
+    assert_eq!(host.life(address(1), 70, 1), members::Life::Ended);
+    assert_eq!(host.life(address(1), 71, 4), members::Life::Same);
+    // A connection made anew by the same process, and what is left on the one before.
+    assert_eq!(host.life(address(1), 71, 5), members::Life::Same);
+    assert_eq!(host.life(address(1), 71, 4), members::Life::Same);
+}
--- a/sequoiacrank-kernel/tests/edge/moves.rs
+++ b/sequoiacrank-kernel/tests/edge/moves.rs
@@ -122,7 +122,9 @@
                 for (from, digests) in digests.iter().enumerate() {
                     for (_, host) in self.hosts.iter_mut().enumerate().filter(|(to, _)| *to != from)
                     {
-                        digests.iter().for_each(|digest| host.learn(now, address(from), digest));
+                        digests.iter().for_each(|digest| {
+                            host.learn(now, address(from), &address(from).to_string(), digest)
+                        });
                     }
                 }
             }
@@ -213,7 +215,7 @@
     new.order(site::ms(50), [("desk".to_owned(), order)].into_iter().collect(), false);
     let side = |host: &moves::Moves| host.side("desk", HOSTS, &BOUND, 0.0).expect("a side");
     assert!(!side(&new).new && !side(&new).strict);
-    new.learn(site::ms(60), address(0), &digest);
+    new.learn(site::ms(60), address(0), &address(0).to_string(), &digest);
     assert!(!side(&new).new && side(&new).strict);
     // What the store says goes before: the old version has gone.
     new.stored("desk", "v2", moves::State::Completed);
@@ -231,12 +233,12 @@
     host.stored("desk", "v2", moves::State::Active);
     let mut digest = world.hosts[1].digests(site::ms(25_000), |_, _| 1).remove(0);
     digest.phase = moves::Phase::Moved;
-    host.learn(site::ms(25_000), address(1), &digest);
+    host.learn(site::ms(25_000), address(1), &address(1).to_string(), &digest);
     let due = |host: &moves::Moves, at: u64| host.due(site::ms(at), |_, _| 0, &[address(1)]);
     assert_eq!(due(&host, 25_000), []);
     assert_eq!(due(&host, 28_000)[0].state, moves::State::Completed);
     digest.old = 0;
-    host.learn(site::ms(25_400), address(1), &digest);
+    host.learn(site::ms(25_400), address(1), &address(1).to_string(), &digest);
     assert_eq!(due(&host, 25_400)[0].state, moves::State::Completed);
 }
 
