An extra answer of a stage endpoint is not taken for that to the next call

Found while listing what is matched by what: an answer to a call of stage work names neither call nor request, and calls shared kept connections, on which an extra answer may come where the next one is due. Before stand-ins request a-1 ran on the results of a-0: answers_of_stage_endpoints_that_come_twice_are_not_taken_for_those_of_the_next_call fails before and passes.

Each call of stage work opens a connection of its own; it is kept for calls that free results, whose answers say nothing.

--- a/sequoiacrank-edge/src/client.rs
+++ b/sequoiacrank-edge/src/client.rs
@@ -233,6 +233,22 @@
         tokio::time::timeout(limit, call).await.map_err(|_| Error::Time)?
     }
 
+    /// The same on a new connection, for calls whose answers name nothing: on one that was kept, what comes may
+    /// be an extra answer to the call before.
+    pub async fn call_alone(
+        &self,
+        address: net::SocketAddr,
+        request: http::Request<Bytes>,
+        limit: time::Duration,
+    ) -> Result<Answer, Error> {
+        let call = async {
+            let mut connection = self.fresh(address).await?;
+            let answer = connection.send(request).await?;
+            self.whole(connection, answer).await
+        };
+        tokio::time::timeout(limit, call).await.map_err(|_| Error::Time)?
+    }
+
     /// Takes the whole body of an answer and keeps the connection if it may be used again.
     async fn whole(
         &self,
