--- a/sequoiacrank-edge/src/exchange/mod.rs
+++ b/sequoiacrank-edge/src/exchange/mod.rs
@@ -249,57 +249,62 @@
                 return Err(refusal::Refusal::soon(code::Code::NoEndpoint));
             };
             self.tried.borrow_mut().push(endpoint.clone());
-            let miss = match self.send(&endpoint, address, self.head.resume, leave).await {
+            permit = match self.send(&endpoint, address, self.head.resume, leave).await {
                 Ok(upstream) if self.is_failure(&upstream) && self.may_repeat() => {
-                    permit = self.permit("failed");
+                    let permit = self.permit("failed");
                     if permit.is_none() {
                         return Ok(upstream);
                     }
                     upstream.flight.end(fleet::End::Bad);
                     self.ran.set(true);
-                    continue;
+                    permit
                 }
                 Ok(upstream) => return Ok(upstream),
-                Err(miss) => miss,
+                Err(miss) => self.again(miss, &mut unreached).await?,
             };
-            match miss {
-                Miss::Unsent(_) | Miss::Refused(http::StatusCode::MISDIRECTED_REQUEST)
-                    if unreached + 1 >= UNREACHED =>
-                {
-                    return Err(refusal::Refusal::soon(code::Code::NoEndpoint));
-                }
-                Miss::Unsent(back) => {
-                    unreached += 1;
-                    permit = Some(back);
-                }
-                Miss::Refused(http::StatusCode::MISDIRECTED_REQUEST) => {
-                    unreached += 1;
-                    permit = self.permit("another endpoint");
-                }
-                Miss::Refused(http::StatusCode::CONFLICT) if self.results.borrow().is_some() => {
-                    if self.sends.get() > 1 {
-                        return Err(refusal::Refusal::soon(code::Code::QueueFull));
-                    }
-                    permit = self.permit("results gone");
-                    self.results.borrow_mut().take();
-                    if permit.is_some() {
-                        self.stages().await?;
-                    }
-                }
-                Miss::Refused(_) if self.sends.get() >= self.route.attempts => {
+        }
+    }
+
+    /// Leave to send the request once more behind a send without an answer, if the budget has room for it.
+    /// Counts sends that reached no endpoint, or another one than was meant.
+    async fn again(
+        &self,
+        miss: Miss,
+        unreached: &mut usize,
+    ) -> Result<Option<repeat::Permit>, refusal::Refusal> {
+        match miss {
+            Miss::Unsent(_) | Miss::Refused(http::StatusCode::MISDIRECTED_REQUEST)
+                if *unreached + 1 >= UNREACHED =>
+            {
+                Err(refusal::Refusal::soon(code::Code::NoEndpoint))
+            }
+            Miss::Unsent(permit) => {
+                *unreached += 1;
+                Ok(Some(permit))
+            }
+            Miss::Refused(http::StatusCode::MISDIRECTED_REQUEST) => {
+                *unreached += 1;
+                Ok(self.permit("another endpoint"))
+            }
+            Miss::Refused(http::StatusCode::CONFLICT) if self.results.borrow().is_some() => {
+                if self.sends.get() > 1 {
                     return Err(refusal::Refusal::soon(code::Code::QueueFull));
                 }
-                Miss::Refused(_) => permit = self.permit("refused"),
-                Miss::Lost(code) => {
-                    self.ran.set(true);
-                    permit = match self.may_repeat() {
-                        true => self.permit("lost"),
-                        false => None,
-                    };
-                    if permit.is_none() {
-                        return Err(refusal::Refusal::new(code));
-                    }
+                let permit = self.permit("results gone");
+                self.results.borrow_mut().take();
+                if permit.is_some() {
+                    self.stages().await?;
                 }
+                Ok(permit)
+            }
+            Miss::Refused(_) if self.sends.get() >= self.route.attempts => {
+                Err(refusal::Refusal::soon(code::Code::QueueFull))
+            }
+            Miss::Refused(_) => Ok(self.permit("refused")),
+            Miss::Lost(code) => {
+                self.ran.set(true);
+                let permit = self.may_repeat().then(|| self.permit("lost")).flatten();
+                permit.map(Some).ok_or(refusal::Refusal::new(code))
             }
         }
     }
