--- a/sequoiacrank-config/src/settings/mod.rs
+++ b/sequoiacrank-config/src/settings/mod.rs
@@ -55,8 +55,6 @@
     pub log: String,
     /// List of live hosts.
     pub hosts: String,
-    /// Weight store, if there is one.
-    pub weights: Option<String>,
     /// Longest time that the host list lags behind.
     pub lag: time::Duration,
     /// How often the host list is read.
--- a/sequoiacrank-config/src/settings/wire.rs
+++ b/sequoiacrank-config/src/settings/wire.rs
@@ -26,7 +26,6 @@
 struct Platform {
     log: read::At<String>,
     hosts: read::At<String>,
-    weights: Option<read::At<String>>,
     lag: time::Duration,
     refresh: time::Duration,
 }
@@ -95,19 +94,15 @@
 
 impl Platform {
     fn check(self, sink: &mut read::Sink) -> super::Platform {
-        for url in [Some(&self.log), Some(&self.hosts), self.weights.as_ref()] {
-            match url {
-                Some(url) if !url.value.starts_with("http://") => {
-                    let detail = format!("found {:?}; expected an http:// URL", url.value);
-                    sink.at(code::Code::OutOfRange, url, detail);
-                }
-                _ => {}
+        for url in [&self.log, &self.hosts] {
+            if !url.value.starts_with("http://") {
+                let detail = format!("found {:?}; expected an http:// URL", url.value);
+                sink.at(code::Code::OutOfRange, url, detail);
             }
         }
         super::Platform {
             log: self.log.value,
             hosts: self.hosts.value,
-            weights: self.weights.map(|url| url.value),
             lag: self.lag,
             refresh: self.refresh,
         }
@@ -202,11 +197,10 @@
         let mut fields = read::Reader::new(node, sink)?;
         let log = fields.need("log");
         let hosts = fields.need("hosts");
-        let weights = fields.maybe("weights");
         let lag = fields.or("lag", secs(5));
         let refresh = fields.or("refresh", secs(1));
         fields.done();
-        Some(Platform { log: log?, hosts: hosts?, weights: weights?, lag: lag?, refresh: refresh? })
+        Some(Platform { log: log?, hosts: hosts?, lag: lag?, refresh: refresh? })
     }
 }
 
--- a/sequoiacrank-host/tests/host/support/mod.rs
+++ b/sequoiacrank-host/tests/host/support/mod.rs
@@ -31,7 +31,6 @@
         platform: settings::Platform {
             log: String::new(),
             hosts: String::new(),
-            weights: None,
             lag: millis(50),
             refresh: millis(50),
         },
--- a/sequoiacrank-platform/src/lib.rs
+++ b/sequoiacrank-platform/src/lib.rs
@@ -1,4 +1,4 @@
-//! Clients of the platform: log, host list and weight store.
+//! Clients of the platform: log and host list.
 //!
 //! Clients block, keep no state but their options, and can be shared between threads. The wire types
 //! are their own; what leaves this crate is in the kernel's types.
@@ -8,6 +8,5 @@
 pub mod hosts;
 mod http;
 pub mod log;
-pub mod weights;
 
 pub use http::Options;
--- a/sequoiacrank-platform/tests/lists.rs
+++ b/sequoiacrank-platform/tests/lists.rs
@@ -1,11 +1,10 @@
-//! The clients of the host list and the weight store against the stand-ins.
+//! The client of the host list against the stand-in.
 
 use std::net;
 use std::time;
 
 use sequoiacrank_platform as platform;
 use sequoiacrank_platform::hosts;
-use sequoiacrank_platform::weights;
 use sequoiacrank_standin as standin;
 
 fn host(id: &str) -> hosts::Listed {
@@ -71,14 +70,3 @@
     list.set_faults(standin::Faults { call, ..Default::default() });
     assert!(client.list().is_err());
 }
-
-#[test]
-fn the_weight_store_limits_how_often_it_is_called() {
-    let options = standin::weights::Options { rate: 0.01, burst: 1.0, ..Default::default() };
-    let store = standin::weights::start(options).unwrap();
-    let client = weights::Client::new(platform::Options::new(store.url()));
-    let found = client.find("s", "v2").unwrap();
-    assert_eq!((found.service.as_str(), found.version.as_str()), ("s", "v2"));
-    assert!(found.bytes > 0);
-    assert!(matches!(client.find("s", "v2"), Err(weights::Error::Limited(_))));
-}
--- a/sequoiacrank-standin/src/fault.rs
+++ b/sequoiacrank-standin/src/fault.rs
@@ -73,7 +73,7 @@
     pub lag_ms: Option<u64>,
     /// The log hands records out in reverse order, and the first one twice.
     pub disorder: bool,
-    /// Calls a second in place of the rate limit of the log or weight store.
+    /// Calls a second in place of the rate limit of the log.
     pub rate: Option<f64>,
 }
 
--- a/sequoiacrank-standin/src/lib.rs
+++ b/sequoiacrank-standin/src/lib.rs
@@ -13,7 +13,6 @@
 mod pace;
 pub mod plain;
 pub mod server;
-pub mod weights;
 
 pub use fault::{CallFault, Faults, Outage};
 pub use server::Error;
--- a/sequoiacrank-standin/src/log.rs
+++ b/sequoiacrank-standin/src/log.rs
@@ -15,8 +15,6 @@
 
 mod bucket;
 
-pub(crate) use bucket::Bucket;
-
 const PAGE: usize = 1000;
 
 /// How a log runs.
--- a/src/args.rs
+++ b/src/args.rs
@@ -141,8 +141,6 @@
     Log,
     /// The platform's host list.
     Hosts,
-    /// The platform's weight store.
-    Weights,
 }
 
 /// What `measure` measures.
--- a/src/command/standin.rs
+++ b/src/command/standin.rs
@@ -7,7 +7,6 @@
 use sequoiacrank_standin::hosts;
 use sequoiacrank_standin::log;
 use sequoiacrank_standin::plain;
-use sequoiacrank_standin::weights;
 
 use crate::args;
 use crate::exit;
@@ -39,10 +38,6 @@
             let options = hosts::Options { listen, ..Default::default() };
             hold(hosts::start(options), |running| running.address(), &mut stops)
         }
-        args::StandinKind::Weights => {
-            let options = weights::Options { listen, ..Default::default() };
-            hold(weights::start(options), |running| running.address(), &mut stops)
-        }
     }
 }
 
