--- a/sequoiacrank-edge/src/batcher.rs
+++ b/sequoiacrank-edge/src/batcher.rs
@@ -167,10 +167,19 @@
     /// Gives up the work of hosts that are not heard any more. They are told, as they may hear this one.
     pub fn sweep(&self, host: &rc::Rc<host::Host>) {
         let now = host.clock.now();
-        self.abandon(host, "not heard", |it| !host.peers.members().is_alive(now, it.address));
+        let silent = |it: &peer::Sender| !host.peers.members().is_alive(now, it.address);
+        for (sender, ticket) in self.abandon(host, "not heard", silent) {
+            host.peers.send(host, sender.address, wire::Body::Failed(wire::Ticket { ticket }));
+        }
     }
 
-    fn abandon<F>(&self, host: &rc::Rc<host::Host>, why: &'static str, is_gone: F)
+    /// Gives up the work of other processes. Returns whose, and their names for it.
+    fn abandon<F>(
+        &self,
+        host: &rc::Rc<host::Host>,
+        why: &'static str,
+        is_gone: F,
+    ) -> Vec<(peer::Sender, u64)>
     where
         F: Fn(&peer::Sender) -> bool,
     {
@@ -178,13 +187,12 @@
             let mut tickets = self.tickets.borrow_mut();
             tickets.extract_if(|(sender, _), _| is_gone(sender)).collect()
         };
-        for ((sender, ticket), run) in gone {
+        for &((sender, ticket), run) in &gone {
             let other = sender.to_string();
             log::info!(target: "stage", other = other.as_str(), ticket, run, why; "work of a host given up");
             self.release(host, run);
-            let failed = wire::Body::Failed(wire::Ticket { ticket });
-            host.peers.send(host, sender.address, failed);
         }
+        gone.into_iter().map(|(asked, _)| asked).collect()
     }
 
     /// Number of requests whose stage work is here.
