One crash of an endpoint that many hosts see counts as one

Cause: hosts told each other how many crashes each had seen with a request, and the sum decided. A request that many callers send, a popular lookup, runs through several hosts on one endpoint; its crash counted once for each of them.

Hosts tell which starts of endpoints crashed with a request, by a hash of name and time of start, and the number of different ones decides. one_crash_that_many_hosts_see_is_one: five hosts, one endpoint; the sum was 5, the bound 3.

--- a/sequoiacrank-edge/src/exchange/send.rs
+++ b/sequoiacrank-edge/src/exchange/send.rs
@@ -161,7 +161,9 @@
     /// Notes that a connection broke while an endpoint ran the request.
     pub fn broke(&self, endpoint: &str) {
         let now = self.host.clock.now();
-        self.host.facts.borrow_mut().crashes.broke(now, endpoint, self.fingerprint);
+        let mut facts = self.host.facts.borrow_mut();
+        let born = facts.fleet.get(endpoint).map_or(0, |entry| entry.born);
+        facts.crashes.broke(now, endpoint, born, self.fingerprint);
     }
 
     fn order(&self, endpoint: &str, resume: Option<u64>) -> http::Request<Bytes> {
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -8,12 +8,12 @@
 use sequoiacrank_adapter::store as topics;
 use sequoiacrank_config::edge;
 use sequoiacrank_kernel::edge::budget;
+use sequoiacrank_kernel::edge::crash;
 use sequoiacrank_kernel::edge::members;
 use sequoiacrank_kernel::edge::moves;
 use sequoiacrank_kernel::edge::pace;
 use sequoiacrank_kernel::id;
 use sequoiacrank_kernel::map;
-use sequoiacrank_kernel::message;
 use tokio::net::TcpListener;
 use tokio::task;
 
@@ -158,7 +158,12 @@
             cpu: self.settings.cpu,
             known: u32::try_from(self.peers.members().known()).unwrap_or(u32::MAX),
             moves: self.digests().into_iter().map(wire::moves::Move::from).collect(),
-            suspects: facts.crashes.digest().into_iter().map(wire::Suspect::from).collect(),
+            suspects: facts
+                .crashes
+                .digest(self.clock.now())
+                .into_iter()
+                .map(wire::Suspect::from)
+                .collect(),
             ..wire::Pulse::default()
         }
     }
@@ -173,10 +178,9 @@
             }
         }
         if !pulse.suspects.is_empty() {
-            let suspects: Vec<_> =
-                pulse.suspects.iter().copied().map(message::Suspect::from).collect();
+            let suspects: Vec<_> = pulse.suspects.iter().cloned().map(crash::Told::from).collect();
             let now = self.clock.now();
-            self.facts.borrow_mut().crashes.learn(now, &sender.to_string(), &suspects);
+            self.facts.borrow_mut().crashes.learn(now, &suspects);
         }
         self.take_digests(sender, &pulse.moves);
         // Both topics are followed at the store as well; what another host has newer than that shows that
--- a/sequoiacrank-edge/src/peer/wire/mod.rs
+++ b/sequoiacrank-edge/src/peer/wire/mod.rs
@@ -11,9 +11,9 @@
 use prost::Message as _;
 use quick_error::quick_error;
 use sequoiacrank_adapter::store;
+use sequoiacrank_kernel::edge::crash;
 use sequoiacrank_kernel::edge::members;
 use sequoiacrank_kernel::edge::records;
-use sequoiacrank_kernel::message;
 
 quick_error! {
     /// Why bytes of another host can't be read.
@@ -119,25 +119,25 @@
 }
 
 /// A request during which endpoints crashed.
-#[derive(Clone, Copy, PartialEq, prost::Message)]
+#[derive(Clone, PartialEq, prost::Message)]
 pub struct Suspect {
     /// Hash of the request.
     #[prost(fixed64, tag = "1")]
     pub fingerprint: u64,
     /// Endpoints that crashed on the sender's calls.
-    #[prost(uint32, tag = "2")]
-    pub crashes: u32,
+    #[prost(fixed64, repeated, tag = "3")]
+    pub ends: Vec<u64>,
 }
 
-impl From<message::Suspect> for Suspect {
-    fn from(suspect: message::Suspect) -> Self {
-        Suspect { fingerprint: suspect.fingerprint, crashes: suspect.crashes }
+impl From<crash::Told> for Suspect {
+    fn from(told: crash::Told) -> Self {
+        Suspect { fingerprint: told.request, ends: told.ends }
     }
 }
 
-impl From<Suspect> for message::Suspect {
+impl From<Suspect> for crash::Told {
     fn from(wire: Suspect) -> Self {
-        message::Suspect { fingerprint: wire.fingerprint, crashes: wire.crashes }
+        crash::Told { request: wire.fingerprint, ends: wire.ends }
     }
 }
 
--- a/sequoiacrank-kernel/src/suspect.rs
+++ b/sequoiacrank-kernel/src/suspect.rs
@@ -12,11 +12,11 @@
 /// Crashes over all hosts from which on a request is refused.
 const CRASHES: u32 = 2;
 /// How long after the last crash a request is refused.
-const REFUSE: time::Duration = time::Duration::from_secs(600);
+pub const REFUSE: time::Duration = time::Duration::from_secs(600);
 /// Crashes of one endpoint within this span are one crash seen through several calls.
 const SAME: time::Duration = time::Duration::from_secs(2);
 /// Fingerprints remembered at most.
-const CAPACITY: usize = 4096;
+pub const CAPACITY: usize = 4096;
 /// Fingerprints dropped at a time when the memory is full.
 const EVICT: usize = CAPACITY / 8;
 
--- a/sequoiacrank-kernel/tests/edge/crash.rs
+++ b/sequoiacrank-kernel/tests/edge/crash.rs
@@ -18,14 +18,14 @@
         }
         runs += 1;
         let endpoint = format!("engine-{number}");
-        hosts[own].broke(now, &endpoint, POISON);
+        hosts[own].broke(now, &endpoint, 1, POISON);
         hosts[own].down(now + site::ms(20), &endpoint);
         if served {
             hosts.iter_mut().for_each(|host| host.served(POISON));
         }
-        let digest = hosts[own].digest();
+        let digest = hosts[own].digest(now);
         for (_, host) in hosts.iter_mut().enumerate().filter(|(to, _)| *to != own) {
-            host.learn(now + site::ms(400), &format!("host-{own}"), &digest);
+            host.learn(now + site::ms(400), &digest);
         }
     }
     runs
@@ -49,9 +49,29 @@
 fn lost_answers_are_no_crashes() {
     let mut host = crash::Crashes::default();
     for number in 0..10 {
-        host.broke(site::ms(number * 100), "engine-1", POISON);
+        host.broke(site::ms(number * 100), "engine-1", 1, POISON);
     }
     assert!(host.refused(site::ms(1000), POISON).is_none());
     // It is down long after the last of them.
     assert_eq!(host.down(site::ms(9000), "engine-1"), 0);
 }
+
+/// A popular request runs through all hosts on one endpoint that crashes for another reason.
+#[test]
+fn one_crash_that_many_hosts_see_is_one() {
+    let mut hosts = vec![crash::Crashes::default(); 5];
+    let mut told = Vec::new();
+    for host in &mut hosts {
+        host.broke(site::ms(0), "engine-1", 1, POISON);
+        host.down(site::ms(20), "engine-1");
+        told.extend(host.digest(site::ms(20)));
+    }
+    hosts.iter_mut().for_each(|host| host.learn(site::ms(400), &told));
+    assert!(hosts.iter().all(|host| host.refused(site::ms(500), POISON).is_none()));
+    // It starts again under its name, and crashes twice more.
+    for born in [2, 3] {
+        hosts[0].broke(site::ms(born * 1000), "engine-1", born, POISON);
+        hosts[0].down(site::ms(born * 1000 + 20), "engine-1");
+    }
+    assert_eq!(hosts[0].refused(site::ms(4000), POISON), Some(3));
+}
