Nobody says that a key did not run for lack of the log

Cause: an owner that can't read the log does not learn that another host has taken its shard over and granted a key; it vouched all the same that it knows of no other request, and the holder refused as "run: no".

Change: without the log, refusals say "unknown"; a repeat with the same key is safe as before.

--- a/sequoiacrank-kernel/src/agree/asks.rs
+++ b/sequoiacrank-kernel/src/agree/asks.rs
@@ -24,8 +24,6 @@
     pub since: id::Time,
     /// Append that carries it.
     pub sequence: Option<u64>,
-    /// Whether its host was told that no other request can hold the key.
-    pub vouched: bool,
 }
 
 impl Ask {
@@ -67,14 +65,6 @@
             incarnation: claim.incarnation,
         }
     }
-
-    /// When its host has surely stopped waiting, whatever its clock says.
-    pub fn lapse(&self) -> id::Time {
-        match self.vouched {
-            true => self.claim.deadline + table::SKEW,
-            false => self.claim.deadline,
-        }
-    }
 }
 
 /// Wishes by key, so that those for the same key stand together.
@@ -90,7 +80,7 @@
         if self.map.contains_key(&place) {
             return false;
         }
-        self.map.insert(place, Ask { claim, since: now, sequence: None, vouched: false });
+        self.map.insert(place, Ask { claim, since: now, sequence: None });
         true
     }
 
--- a/sequoiacrank-kernel/src/agree/holder.rs
+++ b/sequoiacrank-kernel/src/agree/holder.rs
@@ -25,10 +25,6 @@
     claim: message::Claim,
     next: id::Time,
     backoff: time::Duration,
-    /// Host that was asked last.
-    owner: Option<id::HostId>,
-    /// Whether that host said that no other request holds the key.
-    vouched: bool,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -83,7 +79,7 @@
         let unusable = table::unusable(&claim.key, turn.now, turn.options.window);
         let (next, backoff) = (turn.now, BACKOFF_FIRST);
         let key = claim.key;
-        self.pending.insert(request, Pending { claim, next, backoff, owner: None, vouched: false });
+        self.pending.insert(request, Pending { claim, next, backoff });
         match unusable {
             Some((code, run)) => {
                 self.close(key, request, message::ClaimAnswer::Refused { code, run }, turn)
@@ -115,7 +111,6 @@
     /// Takes an owner's answer.
     pub fn answer(
         &mut self,
-        from: &str,
         (key, request): asks::Place,
         answer: message::ClaimAnswer,
         turn: &mut turn::Turn<'_>,
@@ -126,14 +121,10 @@
                 self.give_up(request, turn)
             }
             (Some(waiting), message::ClaimAnswer::NotOwner) => {
-                waiting.vouched = false;
                 waiting.next = waiting.next.min(now + NOT_OWNER_WAIT);
             }
-            (Some(waiting), message::ClaimAnswer::Refused { code: code::Code::LogDown, run }) => {
-                // Only the host that is asked now can say so.
-                let current = waiting.owner.as_deref() == Some(from);
-                waiting.vouched = current && run == code::Run::No
-            }
+            // No owner knows that the log stays away until the deadline.
+            (Some(_), message::ClaimAnswer::Refused { code: code::Code::LogDown, .. }) => {}
             (Some(_), answer) => self.close(key, request, answer, turn),
             (None, message::ClaimAnswer::Granted) => self.return_grant(key, request, turn),
             (None, _) => {}
@@ -147,18 +138,14 @@
         }
     }
 
-    /// Stops waiting. Whether an earlier request with the key ran is only known if the owner said so.
+    /// Stops waiting. An earlier request with the key may have run: an owner that can't read the log does not
+    /// learn that another host has taken the shard over, so that none can say that it did not.
     fn give_up(&mut self, request: id::RequestId, turn: &mut turn::Turn<'_>) {
         let Some(waiting) = self.pending.get(&request) else { return };
         let key = waiting.claim.key;
-        let run = if waiting.vouched { code::Run::No } else { code::Run::Unknown };
-        let code = code::Code::LogDown;
+        let (code, run) = (code::Code::LogDown, code::Run::Unknown);
         self.close(key, request, message::ClaimAnswer::Refused { code, run }, turn);
-        match run {
-            // The owner keeps the key for this request until it learns that it gave up.
-            code::Run::No => self.report(key, request, log::End::NotRun, turn),
-            _ => send_outcome(key, request, log::End::NotRun, turn),
-        }
+        send_outcome(key, request, log::End::NotRun, turn);
     }
 
     /// A granted request ended.
@@ -203,13 +190,7 @@
         for waiting in self.pending.values_mut().filter(|waiting| now >= waiting.next) {
             waiting.next = now + waiting.backoff;
             waiting.backoff = (waiting.backoff * 2).min(BACKOFF_LAST);
-            let owner = owner(&waiting.claim.key, turn);
-            if owner != waiting.owner {
-                // What another host said binds no new owner.
-                waiting.vouched = false;
-                waiting.owner = owner.clone();
-            }
-            if let Some(owner) = owner {
+            if let Some(owner) = owner(&waiting.claim.key, turn) {
                 turn.ask(&owner, message::Message::Claim(waiting.claim.clone()));
             }
         }
--- a/sequoiacrank-kernel/src/agree/machine.rs
+++ b/sequoiacrank-kernel/src/agree/machine.rs
@@ -254,7 +254,7 @@
         match message {
             message::Message::Claim(claim) => self.claim(from, claim, turn),
             message::Message::ClaimAnswer { key, request, answer } => {
-                self.holder.answer(from, (key, request), answer, turn)
+                self.holder.answer((key, request), answer, turn)
             }
             message::Message::Outcome { key, request, end } => {
                 let shard = peers::shard(&key, turn.options.shards);
--- a/sequoiacrank-kernel/src/agree/owner.rs
+++ b/sequoiacrank-kernel/src/agree/owner.rs
@@ -5,7 +5,6 @@
 use std::time;
 
 use super::{Options, Taken, asks, follow, outbox, table, turn};
-use crate::code;
 use crate::id;
 use crate::log;
 use crate::message;
@@ -33,8 +32,6 @@
     endings: collections::BTreeMap<asks::Place, Ending>,
     /// Requests that gave up before they were appended, until their wish has lapsed everywhere.
     withdrawn: collections::BTreeMap<id::RequestId, id::Time>,
-    /// Claims that were appended and given up, but may yet stand in the log.
-    limbo: collections::BTreeSet<asks::Place>,
     batch: Option<u64>,
     epoch: Option<u64>,
     epoch_next: id::Time,
@@ -53,7 +50,6 @@
             asks: asks::Asks::default(),
             endings: collections::BTreeMap::new(),
             withdrawn: collections::BTreeMap::new(),
-            limbo: collections::BTreeSet::new(),
             batch: None,
             epoch: None,
             epoch_next: turn.now,
@@ -102,7 +98,7 @@
         let again = !self.asks.add(claim, turn.now);
         self.resolve((key, request), turn);
         if again {
-            self.vouch((key, request), turn);
+            self.remind(&key, turn);
         }
     }
 
@@ -111,7 +107,7 @@
         let Some(ask) = self.asks.get(&place) else { return };
         let (key, request) = place;
         let holder = ask.claim.holder.clone();
-        let lapsed = turn.now >= ask.lapse() || self.table.is_refused(&key, &request);
+        let lapsed = turn.now >= ask.claim.deadline || self.table.is_refused(&key, &request);
         match self.table.row(&key).and_then(|row| ask.verdict(row, turn.now)) {
             Some(answer) => {
                 self.asks.remove(&place);
@@ -124,33 +120,15 @@
         }
     }
 
-    /// Tells a waiting host how far its repeated wish is.
-    ///
-    /// Either no other request can hold the key, so that a refusal for lack of the log may say "not
-    /// run"; or another one does, which is then reminded of its grant in case it never used it.
-    fn vouch(&mut self, place: asks::Place, turn: &mut turn::Turn<'_>) {
-        let Some(ask) = self.asks.get(&place) else { return };
-        let (key, request) = place;
-        match self.table.row(&key).map(|row| &row.state) {
-            Some(table::State::Held { request, holder }) => {
-                reply(holder, key, *request, message::ClaimAnswer::Granted, turn)
-            }
-            Some(table::State::Ended { .. }) => {}
-            _ if self.stands(turn) && self.asks.is_first(&place) && !self.is_contested(&place) => {
-                let answer = asks::refused(code::Code::LogDown, code::Run::No);
-                reply(&ask.claim.holder, key, request, answer, turn);
-                self.asks.get_mut(&place).into_iter().for_each(|ask| ask.vouched = true);
-            }
-            _ => {}
+    /// Reminds the host that holds the key of its grant, in case it never used it.
+    fn remind(&mut self, key: &id::Key, turn: &mut turn::Turn<'_>) {
+        if let Some(table::State::Held { request, holder }) =
+            self.table.row(key).map(|row| &row.state)
+        {
+            reply(holder, *key, *request, message::ClaimAnswer::Granted, turn);
         }
     }
 
-    /// Whether a claim of another request that was given up may yet come to hold the key.
-    fn is_contested(&self, (key, request): &asks::Place) -> bool {
-        let all = (*key, id::RequestId::nil())..=(*key, id::RequestId::max());
-        self.limbo.range(all).any(|(_, other)| other != request)
-    }
-
     /// Takes the end of a request.
     pub fn ended(
         &mut self,
@@ -259,7 +237,6 @@
             self.prune_next = turn.now + PRUNE_EVERY;
             let (now, window) = (turn.now, turn.options.window);
             self.table.prune(now, window);
-            self.limbo.retain(|(key, _)| !table::is_forgotten(key, now, window));
             self.endings.retain(|(key, _), _| !table::is_forgotten(key, now, window));
             self.withdrawn.retain(|_, until| *until > turn.now);
         }
@@ -299,12 +276,7 @@
     /// Claims of an epoch that no longer stands don't count; its requests are claimed anew.
     fn abandon_batch(&mut self) {
         if let Some(sequence) = self.batch.take() {
-            let item = self.outbox.give_up(sequence).filter(|item| item.may_land());
-            let entries = item.into_iter().flat_map(|item| item.entries);
-            self.limbo.extend(entries.filter_map(|entry| match entry {
-                log::Entry::Claim { key, request, .. } => Some((key, request)),
-                _ => None,
-            }));
+            self.outbox.give_up(sequence);
             self.unbatch(sequence);
         }
     }
