A message to a batcher that has restarted is not lost on a connection to the process before

Cause: hosts that are no neighbours of a batcher keep a connection to it that they rarely use. Ruled out: slower news of leaving hosts (told within a tenth of a second) and the order of hosts, which is another one than before.

Change: the writer ends when the other side closes, and a connection goes when a later process is told of. A restarted host is settled unless a neighbour reaches more hosts or one that was just told is not reached yet; it waited for equal statements of all neighbours, whose pulses may be 0.4 s apart.

--- a/sequoiacrank-edge/src/peer/mod.rs
+++ b/sequoiacrank-edge/src/peer/mod.rs
@@ -246,6 +246,8 @@
             let sender = Sender { address: other, process };
             if restarted {
                 host.batcher.restarted(host, sender);
+                // It leads to the process before.
+                self.links.borrow_mut().remove(&other);
             }
             if leaving {
                 log::info!(target: "hosts", other = sender.to_string().as_str(); "leaving");
@@ -274,37 +276,44 @@
         match stream.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into())) {
             Ok(stream) => {
                 connected.set(true);
-                if let Err(err) = write(stream, first, &mut frames).await {
-                    let other = address.to_string();
-                    let err = err.to_string();
-                    log::info!(target: "hosts", other = other.as_str(), err = err.as_str(); "broken");
-                }
+                let result = write(stream, first, &mut frames).await;
+                connected.set(false);
+                let Err(err) = result else { continue };
+                let other = address.to_string();
+                let err = err.to_string();
+                log::info!(target: "hosts", other = other.as_str(), err = err.as_str(); "broken");
             }
             // Hosts that are down are told by the missing pulses; a line for each attempt tells nothing.
             Err(_) => tokio::time::sleep(AGAIN).await,
         }
-        connected.set(false);
         // What was said meanwhile is out of date.
         while frames.try_recv().is_ok() {}
     }
 }
 
+/// Writes messages until the other side closes the connection: its process has ended, and a message on it would
+/// be lost.
 async fn write(
     mut stream: TcpStream,
     first: wire::Frame,
     frames: &mut mpsc::UnboundedReceiver<wire::Frame>,
 ) -> std::io::Result<()> {
     client::guard(&stream)?;
+    let (mut reader, mut writer) = stream.split();
     let mut buffer = BytesMut::new();
+    let mut nothing = [0];
     let mut next = Some(first);
     while let Some(frame) = next {
         wire::encode(&frame, &mut buffer);
         while let Ok(frame) = frames.try_recv() {
             wire::encode(&frame, &mut buffer);
         }
-        stream.write_all(&buffer).await?;
+        writer.write_all(&buffer).await?;
         buffer.clear();
-        next = frames.recv().await;
+        next = tokio::select! {
+            frame = frames.recv() => frame,
+            _ = reader.read(&mut nothing) => None,
+        };
     }
     Ok(())
 }
--- a/sequoiacrank-kernel/src/edge/members.rs
+++ b/sequoiacrank-kernel/src/edge/members.rs
@@ -120,8 +120,9 @@
     paired: bool,
     /// Whether it was asked for all statements since it was out of reach.
     asked: bool,
-    /// Whether its last pulse told of the same statements as are known here, and how many in a row did not.
-    agrees: bool,
+    /// Number of hosts that it reached at its last pulse.
+    reaches: u32,
+    /// Pulses in a row that told of other statements than are known here.
     differs: u32,
     places: overlay::Places,
 }
@@ -143,7 +144,7 @@
             chooses: id::Time::ZERO,
             paired: false,
             asked: false,
-            agrees: false,
+            reaches: 0,
             differs: 0,
             places: overlay::places(address),
         }
@@ -328,7 +329,7 @@
             member.chooses = now + LOST;
         }
         let same = signs.digest == self.reached.1;
-        member.agrees = same;
+        member.reaches = signs.reached;
         member.differs = if same { 0 } else { member.differs + 1 };
         self.parts.learn(now, signs.known);
     }
@@ -433,16 +434,17 @@
         let until = match self.met {
             _ if now >= SETTLED => return None,
             None => ALONE,
-            Some(_) if !self.agrees(now) => SETTLED.min(now + YOUNG_PULSE),
+            Some(_) if self.is_behind(now) => SETTLED.min(now + YOUNG_PULSE),
             Some(met) => SETTLE.max(met + QUIET).min(SETTLED),
         };
         until.checked_sub(now).filter(|left| !left.is_zero())
     }
 
-    /// Whether all neighbours that are heard told the same as is known here.
-    fn agrees(&self, now: id::Time) -> bool {
-        let mut near = self.members.values().filter(|it| it.is_neighbour(now) && it.is_heard(now));
-        near.all(|it| it.agrees)
+    /// Whether a neighbour reaches more hosts than this one, or one was told just now that is not reached yet.
+    fn is_behind(&self, now: id::Time) -> bool {
+        let more = |it: &Member| it.is_heard(now) && it.reaches > self.reached.0;
+        let near = |it: &Member| it.is_neighbour(now) && more(it);
+        self.members.values().any(|it| near(it) || (it.is_fresh(now) && !it.alive))
     }
 
     /// Whether a host is known.
--- a/sequoiacrank-kernel/src/edge/members/reach.rs
+++ b/sequoiacrank-kernel/src/edge/members/reach.rs
@@ -17,7 +17,7 @@
 
 impl members::Member {
     /// Whether its process was told just now.
-    fn is_fresh(&self, now: id::Time) -> bool {
+    pub(super) fn is_fresh(&self, now: id::Time) -> bool {
         self.told.is_some() && now < self.told_at + FRESH
     }
 
