--- a/sequoiacrank-edge/src/peer/mod.rs
+++ b/sequoiacrank-edge/src/peer/mod.rs
@@ -144,7 +144,8 @@
     pub fn pulse(&self, host: &rc::Rc<host::Host>) {
         let now = host.clock.now();
         let crashes = host.facts.borrow().crashes.digest(now);
-        self.members.borrow_mut().state(host.stop.is_leaving(), crashes);
+        let (leaving, blind) = (host.stop.is_leaving(), host.blind.get());
+        self.members.borrow_mut().state(leaving, blind, crashes);
         let round = self.members.borrow_mut().pulse(now);
         for address in round.forgotten {
             log::info!(target: "hosts", other = address.to_string().as_str(); "forgotten");
--- a/sequoiacrank-edge/src/peer/wire/statement.rs
+++ b/sequoiacrank-edge/src/peer/wire/statement.rs
@@ -32,6 +32,9 @@
     /// Requests during which endpoints crashed.
     #[prost(message, repeated, tag = "8")]
     pub crashes: Vec<Crash>,
+    /// Whether the host does not reach the store.
+    #[prost(bool, tag = "9")]
+    pub blind: bool,
 }
 
 /// A request during which endpoints crashed.
@@ -65,6 +68,7 @@
             epoch: told.epoch,
             version: told.version,
             leaving: told.leaving,
+            blind: told.blind,
             cpu: told.cpu,
             hears: told.hears,
             crashes: told.crashes.into_iter().map(Crash::from).collect(),
@@ -82,6 +86,7 @@
             epoch: wire.epoch,
             version: wire.version,
             leaving: wire.leaving,
+            blind: wire.blind,
             cpu: wire.cpu,
             hears: wire.hears,
             crashes: wire.crashes.into_iter().map(crash::Told::from).collect(),
--- a/sequoiacrank-edge/src/stages.rs
+++ b/sequoiacrank-edge/src/stages.rs
@@ -128,11 +128,16 @@
     }
 }
 
-/// Place of this host among those that live, in the order of one batcher.
+/// Place of this host among those that live, in the order in which they read and write the store for all.
 pub fn place(host: &host::Host) -> usize {
     let members = host.peers.members();
-    let own = rank("", &members.seat());
-    members.asked(host.clock.now()).filter(|other| rank("", other) < own).count()
+    let own = order(&members.seat());
+    members.asked(host.clock.now()).filter(|other| order(other) < own).count()
+}
+
+/// Hosts that reach the store come first.
+fn order(seat: &members::Seat) -> (bool, (cmp::Reverse<u32>, u64)) {
+    (seat.blind, rank("", seat))
 }
 
 /// Other hosts among the first in that order.
@@ -140,7 +145,7 @@
     let members = host.peers.members();
     let own = members.seat();
     let mut all: Vec<_> = members.asked(host.clock.now()).chain([own]).collect();
-    all.sort_unstable_by_key(|it| rank("", it));
+    all.sort_unstable_by_key(order);
     let first = all.into_iter().take(count).map(|it| it.host);
     first.filter(|&it| it != own.host).collect()
 }
--- a/sequoiacrank-edge/src/store.rs
+++ b/sequoiacrank-edge/src/store.rs
@@ -13,13 +13,13 @@
 use crate::host;
 use crate::stages;
 
-/// Hosts that read the endpoints' records and tell the others. One more than is needed, so that the loss
-/// of one is not noticed.
+/// Hosts that read for all and tell the others: one reads the endpoints' records, and the next one does while the
+/// first tells nothing; both wait for those of the operators.
 const READERS: usize = 2;
 /// Time that the store holds a read of a reader open that has nothing to return. A connection that went
 /// silent goes unnoticed for as long.
 const HOLD: time::Duration = time::Duration::from_secs(4);
-/// The same for other hosts, which hear of newer records from readers.
+/// The same for other hosts while readers tell nothing.
 const LONG_HOLD: time::Duration = time::Duration::from_secs(28);
 /// Time beyond that within which an answer must come.
 const EXTRA: time::Duration = time::Duration::from_millis(1000);
@@ -29,6 +29,8 @@
 const AGAIN: time::Duration = time::Duration::from_millis(400);
 /// Times that other hosts double it: readers tell them when the store is back.
 const DOUBLINGS: u32 = 3;
+/// Calls in a row that fail from which on others read for all: one may be lost.
+const BLIND: u32 = 2;
 /// Bounds of the factor by which each such time differs. Hosts that lost the store at the same moment do not
 /// all come back to it at once.
 const SPREAD: (f64, f64) = (0.75, 1.25);
@@ -37,12 +39,17 @@
 /// Time between two reads of the endpoints' records: they are written every second or so, and what an
 /// endpoint says of leaving has to be known within two.
 const ENDPOINTS: time::Duration = time::Duration::from_millis(500);
-/// Age of the endpoints' records at which a host reads them itself: two readers have missed two turns.
+/// Age of the endpoints' records at which the second reader reads them, and at which each host does so itself.
+const STANDBY: time::Duration = time::Duration::from_millis(800);
 const STALE: time::Duration = time::Duration::from_millis(1100);
+/// Time in which records of the operators that another host knows come from a reader.
+const BEHIND: time::Duration = time::Duration::from_millis(100);
 /// Time between two looks in the store for other hosts.
 const MEET: time::Duration = time::Duration::from_secs(2);
-/// Time between two looks at that age.
+/// Time between two looks at that age, before endpoints' records are read and before those of the operators are:
+/// what is new of these is told by other hosts, so that only an outage of the readers waits for the second.
 const LOOK: time::Duration = time::Duration::from_millis(150);
+const SLOW_LOOK: time::Duration = time::Duration::from_millis(300);
 
 quick_error! {
     /// Why a topic could not be read.
@@ -104,23 +111,62 @@
 }
 
 /// Whether this host is one of those that read for all.
-fn is_reader(host: &host::Host) -> bool {
+pub fn is_reader(host: &host::Host) -> bool {
     stages::place(host) < READERS
 }
 
+/// Whether the endpoints' records are older than `age`, as readers tell nothing.
+fn is_older(host: &host::Host, age: time::Duration) -> bool {
+    let fresh = host.facts.borrow().records(store::Topic::Endpoints).fresh();
+    fresh.is_none_or(|at| host.clock.now() > at + age)
+}
+
+/// Whether this host is to read the endpoints' records.
+fn reads(host: &host::Host) -> bool {
+    match stages::place(host) {
+        0 => true,
+        place if place < READERS => is_older(host, STANDBY),
+        _ => is_older(host, STALE),
+    }
+}
+
+/// Waits until the operators' records are to be read by this host. Returns how long the store may hold the
+/// read.
+async fn operators(host: &host::Host) -> time::Duration {
+    loop {
+        let now = host.clock.now();
+        let behind = |time| {
+            let facts = host.facts.borrow();
+            facts.records(store::Topic::Operators).is_behind(now, time)
+        };
+        match () {
+            () if behind(BEHIND) || is_reader(host) => return HOLD,
+            () if is_older(host, STALE) => return LONG_HOLD,
+            () if behind(time::Duration::ZERO) => tokio::time::sleep(BEHIND).await,
+            // It may be told of newer ones in between; then it looks at once.
+            () => drop(tokio::time::timeout(SLOW_LOOK, host.news.notified()).await),
+        }
+    }
+}
+
 /// Waits until the endpoints' records are to be read by this host.
 async fn turn(host: &host::Host, last: id::Time) {
     loop {
-        let now = host.clock.now();
-        let fresh = host.facts.borrow().records(store::Topic::Endpoints).fresh();
-        let stale = fresh.is_none_or(|at| now > at + STALE);
-        if now >= last + ENDPOINTS && (stale || is_reader(host)) {
+        let due = host.clock.now() >= last + ENDPOINTS;
+        if due && reads(host) {
             return;
         }
         tokio::time::sleep(LOOK).await;
     }
 }
 
+/// Notes whether this host reaches the store, and tells others if that changes.
+fn note(host: &rc::Rc<host::Host>, blind: bool) {
+    if host.blind.replace(blind) != blind {
+        host.peers.pulse(host);
+    }
+}
+
 /// Follows a topic for as long as the host runs.
 pub async fn follow(host: rc::Rc<host::Host>, topic: store::Topic) {
     let name = format!("{topic:?}");
@@ -133,7 +179,8 @@
                 newest(&host, topic).await.map(|page| host.learn(topic, page, true, began))
             }
             store::Topic::Operators => {
-                read(&host, topic, if is_reader(&host) { HOLD } else { LONG_HOLD }).await
+                let hold = operators(&host).await;
+                read(&host, topic, hold).await
             }
             _ => read(&host, topic, time::Duration::ZERO).await,
         };
@@ -141,11 +188,14 @@
         match result {
             Ok(()) => {
                 whole = true;
+                // Of hosts that come back from an outage one after the other, each is the first for a moment.
+                let reader = is_reader(&host);
+                note(&host, false);
                 if std::mem::take(&mut failures) > 0 {
                     log::info!(target: "store", topic = name.as_str(); "regained");
                 }
                 if topic == store::Topic::Endpoints {
-                    host.tell(is_reader(&host));
+                    host.tell(reader);
                     turn(&host, began).await;
                 }
             }
@@ -156,6 +206,9 @@
                 }
                 let doubled = if is_reader(&host) { 0 } else { DOUBLINGS.min(failures) };
                 failures += 1;
+                if failures >= BLIND {
+                    note(&host, true);
+                }
                 let spread = SPREAD.0 + (SPREAD.1 - SPREAD.0) * rand::random::<f64>();
                 tokio::time::sleep((AGAIN * (1 << doubled)).mul_f64(spread)).await;
             }
--- a/sequoiacrank-kernel/src/edge/members.rs
+++ b/sequoiacrank-kernel/src/edge/members.rs
@@ -164,6 +164,8 @@
 pub struct Seat {
     /// The host.
     pub host: net::SocketAddr,
+    /// Whether it does not reach the store.
+    pub blind: bool,
     /// Share of a core that it may use, in thousandths.
     pub cpu: u32,
     /// Drawn evenly, the same on all hosts.
@@ -334,11 +336,12 @@
         self.parts.learn(now, signs.known);
     }
 
-    /// Notes that a host says it crashed endpoints with requests, or that it leaves.
-    pub fn state(&mut self, leaving: bool, crashes: Vec<crash::Told>) {
-        if self.own.leaving != leaving || self.own.crashes != crashes {
-            self.own.leaving = leaving;
-            self.own.crashes = crashes;
+    /// Notes whether this host leaves, whether it does not reach the store, and which endpoints crashed on its
+    /// calls.
+    pub fn state(&mut self, leaving: bool, blind: bool, crashes: Vec<crash::Told>) {
+        let own = &mut self.own;
+        if own.leaving != leaving || own.blind != blind || own.crashes != crashes {
+            (own.leaving, own.blind, own.crashes) = (leaving, blind, crashes);
             self.news.change();
         }
     }
@@ -483,13 +486,15 @@
         self.members.iter().filter_map(move |(&address, it)| {
             let told = it.told.as_ref()?;
             let usable = it.alive && !told.leaving && now >= it.passed.0;
-            usable.then_some(Seat { host: address, cpu: told.cpu, draw: it.places[0] })
+            let (blind, cpu, draw) = (told.blind, told.cpu, it.places[0]);
+            usable.then_some(Seat { host: address, blind, cpu, draw })
         })
     }
 
     /// This host as others see it.
     pub fn seat(&self) -> Seat {
-        Seat { host: self.own.host, cpu: self.own.cpu, draw: self.places[0] }
+        let (blind, cpu, draw) = (self.own.blind, self.own.cpu, self.places[0]);
+        Seat { host: self.own.host, blind, cpu, draw }
     }
 
     /// Hosts to which this one passes on what `root` tells all.
--- a/sequoiacrank-kernel/src/edge/members/statement.rs
+++ b/sequoiacrank-kernel/src/edge/members/statement.rs
@@ -22,6 +22,8 @@
     pub version: u64,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// Whether it does not reach the store.
+    pub blind: bool,
     /// Share of a core that it may use, in thousandths.
     pub cpu: u32,
     /// Neighbours that it hears.
@@ -39,6 +41,7 @@
             epoch,
             version: 1,
             leaving: false,
+            blind: false,
             cpu,
             hears: Vec::new(),
             crashes: Vec::new(),
