Each host waits for the operators' records again

Only two hosts waited at the store for operators' records, both heard nothing of the change until their reads ended at 5.4 s, and the others did not read, as each that read the endpoints' records for itself made them look fresh to all.

Change: what waits are for does not rest on two hosts. Each host holds a read of its own as before, and what readers told of operators goes. One reader of the endpoints' records with a second one behind it stays.

--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -5,7 +5,6 @@
 use std::rc;
 use std::time;
 
-use bytes::Bytes;
 use sequoiacrank_adapter::store as topics;
 use sequoiacrank_config::edge;
 use sequoiacrank_kernel::edge::budget;
@@ -16,7 +15,6 @@
 use sequoiacrank_kernel::id;
 use sequoiacrank_kernel::map;
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
 use tokio::task;
 
 use crate::Error;
@@ -39,8 +37,6 @@
 const WARM: f64 = 4.0;
 /// Why settings are read without a signal; logged only if they changed.
 const QUIET: &str = "time";
-/// Most bytes of operators' records that a reader tells all hosts: six copies take a slow link for 0.3 s.
-const TOLD: usize = 64 << 10;
 /// Shortest time between two readings of the store that a reader tells all hosts.
 const TURN: time::Duration = time::Duration::from_millis(100);
 /// Time between two looks at what only time changes.
@@ -103,11 +99,8 @@
     pub stop: stop::Stop,
     /// Whether this host does not reach the store.
     pub blind: cell::Cell<bool>,
-    /// Tells that another host knows of newer records of the operators.
-    pub news: Notify,
-    /// Times as of which the last records stood that were passed on, by the reader that told them and whether
-    /// they were the endpoints' records.
-    relayed: cell::RefCell<map::FastMap<(net::SocketAddr, bool), id::Time>>,
+    /// Times as of which the last records stood that were passed on, by the reader that told them.
+    relayed: cell::RefCell<map::FastMap<net::SocketAddr, id::Time>>,
     /// Usual time of requests behind their stages, by route.
     pub tails: cell::RefCell<map::FastMap<id::RouteId, time::Duration>>,
 }
@@ -128,7 +121,6 @@
             metrics: metrics::Metrics::new(),
             stop: stop::Stop::default(),
             blind: cell::Cell::new(false),
-            news: Notify::new(),
             relayed: cell::RefCell::default(),
             tails: cell::RefCell::default(),
             tuning: cell::RefCell::new(Tuning::from(&settings)),
@@ -167,10 +159,7 @@
         }
         let operators = topic == topics::Topic::Operators;
         if operators && self.facts.borrow().records(topic).end() > end {
-            if store::is_reader(self) && end > 0 {
-                self.tell_operators(end, at);
-            }
-            // Those that are not told read the store when they hear of it.
+            // Hosts that do not reach the store hear of it over several others.
             self.peers.pulse(self);
         }
     }
@@ -203,9 +192,6 @@
         // the store can't be reached from here, or answers late.
         self.fetch(from, false, pulse.operators);
         self.fetch(from, true, pulse.endpoints);
-        if pulse.operators > self.facts.borrow().records(topics::Topic::Operators).end() {
-            self.news.notify_one();
-        }
     }
 
     /// Asks another host for records up to `end`, if they are not known and nobody was asked just now.
@@ -253,25 +239,6 @@
         self.relay(self.settings.peer, &told);
     }
 
-    /// Tells other hosts the operators' records from an offset on, as they stood at `at`. A configuration of many
-    /// routes would fill the links of those that pass it on, and is read from the store by each host.
-    fn tell_operators(&self, from: id::Offset, at: id::Time) {
-        let told = {
-            let facts = self.facts.borrow();
-            let records = facts.records(topics::Topic::Operators);
-            let newer: Vec<_> = records.since(from).into_iter().map(wire::Record::from).collect();
-            let size =
-                newer.iter().filter_map(|it| it.value.as_ref()).map(Bytes::len).sum::<usize>();
-            if size > TOLD {
-                return;
-            }
-            let age = millis(self.clock.now().saturating_sub(at));
-            let root = Some(self.settings.peer.to_string());
-            wire::Records { endpoints: false, records: newer, end: records.end(), age, from, root }
-        };
-        self.relay(self.settings.peer, &told);
-    }
-
     /// Passes on what a reader tells all hosts.
     fn relay(&self, root: net::SocketAddr, told: &wire::Records) {
         for other in self.peers.members().children(root) {
@@ -286,7 +253,7 @@
         let Some(root) = records.root.as_ref().and_then(|root| root.parse().ok()) else { return };
         let at = self.clock.now().saturating_sub(time::Duration::from_millis(records.age));
         let mut relayed = self.relayed.borrow_mut();
-        let last = relayed.entry((root, records.endpoints)).or_insert(id::Time::ZERO);
+        let last = relayed.entry(root).or_insert(id::Time::ZERO);
         if at < *last + TURN {
             return;
         }
--- a/sequoiacrank-edge/src/store.rs
+++ b/sequoiacrank-edge/src/store.rs
@@ -13,13 +13,13 @@
 use crate::host;
 use crate::stages;
 
-/// Hosts that read for all and tell the others: one reads the endpoints' records, and the next one does while the
-/// first tells nothing; both wait for those of the operators.
+/// Hosts that read the endpoints' records for all and tell the others: the first one, and the next one while it
+/// tells nothing. They notice soon as well if a read of the operators' records is lost.
 const READERS: usize = 2;
 /// Time that the store holds a read of a reader open that has nothing to return. A connection that went
 /// silent goes unnoticed for as long.
 const HOLD: time::Duration = time::Duration::from_secs(4);
-/// The same for other hosts while readers tell nothing.
+/// The same for other hosts, which hear of newer records from readers.
 const LONG_HOLD: time::Duration = time::Duration::from_secs(28);
 /// Time beyond that within which an answer must come.
 const EXTRA: time::Duration = time::Duration::from_millis(1000);
@@ -42,14 +42,10 @@
 /// Age of the endpoints' records at which the second reader reads them, and at which each host does so itself.
 const STANDBY: time::Duration = time::Duration::from_millis(800);
 const STALE: time::Duration = time::Duration::from_millis(1100);
-/// Time in which records of the operators that another host knows come from a reader.
-const BEHIND: time::Duration = time::Duration::from_millis(100);
 /// Time between two looks in the store for other hosts.
 const MEET: time::Duration = time::Duration::from_secs(2);
-/// Time between two looks at that age, before endpoints' records are read and before those of the operators are:
-/// what is new of these is told by other hosts, so that only an outage of the readers waits for the second.
+/// Time between two looks at that age.
 const LOOK: time::Duration = time::Duration::from_millis(150);
-const SLOW_LOOK: time::Duration = time::Duration::from_millis(300);
 
 quick_error! {
     /// Why a topic could not be read.
@@ -111,7 +107,7 @@
 }
 
 /// Whether this host is one of those that read for all.
-pub fn is_reader(host: &host::Host) -> bool {
+fn is_reader(host: &host::Host) -> bool {
     stages::place(host) < READERS
 }
 
@@ -130,25 +126,6 @@
     }
 }
 
-/// Waits until the operators' records are to be read by this host. Returns how long the store may hold the
-/// read.
-async fn operators(host: &host::Host) -> time::Duration {
-    loop {
-        let now = host.clock.now();
-        let behind = |time| {
-            let facts = host.facts.borrow();
-            facts.records(store::Topic::Operators).is_behind(now, time)
-        };
-        match () {
-            () if behind(BEHIND) || is_reader(host) => return HOLD,
-            () if is_older(host, STALE) => return LONG_HOLD,
-            () if behind(time::Duration::ZERO) => tokio::time::sleep(BEHIND).await,
-            // It may be told of newer ones in between; then it looks at once.
-            () => drop(tokio::time::timeout(SLOW_LOOK, host.news.notified()).await),
-        }
-    }
-}
-
 /// Waits until the endpoints' records are to be read by this host.
 async fn turn(host: &host::Host, last: id::Time) {
     loop {
@@ -179,8 +156,7 @@
                 newest(&host, topic).await.map(|page| host.learn(topic, page, true, began))
             }
             store::Topic::Operators => {
-                let hold = operators(&host).await;
-                read(&host, topic, hold).await
+                read(&host, topic, if is_reader(&host) { HOLD } else { LONG_HOLD }).await
             }
             _ => read(&host, topic, time::Duration::ZERO).await,
         };
--- a/sequoiacrank-kernel/src/edge/records.rs
+++ b/sequoiacrank-kernel/src/edge/records.rs
@@ -32,8 +32,6 @@
     end: id::Offset,
     /// Time as of which they were the newest ones in the store.
     fresh: Option<id::Time>,
-    /// Largest offset behind the last record that another host knows.
-    told: id::Offset,
     /// Time at which another host was asked for newer ones that did not come yet.
     asked: Option<id::Time>,
     /// Time at which it was heard that there are newer ones.
@@ -46,7 +44,6 @@
             newest: collections::BTreeMap::new(),
             end: 0,
             fresh: None,
-            told: 0,
             asked: None,
             behind: None,
         }
@@ -114,7 +111,6 @@
     /// offset of the first of them. All hosts hear of a new configuration within one pulse, and copies of a
     /// large one would fill their links: own reads of the store go first, and one host is asked at a time.
     pub fn ask(&mut self, now: id::Time, end: id::Offset) -> Option<id::Offset> {
-        self.told = self.told.max(end);
         if end <= self.end {
             return None;
         }
@@ -127,11 +123,6 @@
         Some(self.end)
     }
 
-    /// Whether another host knows of newer records, and has for `time`.
-    pub fn is_behind(&self, now: id::Time, time: time::Duration) -> bool {
-        self.told > self.end && self.behind.is_some_and(|since| now >= since + time)
-    }
-
     /// Offset behind the last record that is known.
     pub fn end(&self) -> id::Offset {
         self.end
