--- a/sequoiacrank-edge/src/peer/mod.rs
+++ b/sequoiacrank-edge/src/peer/mod.rs
@@ -35,6 +35,9 @@
 /// Time after which a connection that is not used is closed: several times that between two pulses.
 const IDLE: time::Duration = time::Duration::from_secs(10);
 
+/// Names of hosts in one log line: when many come or go at once, their number tells enough.
+const NAMED: usize = 4;
+
 /// The process that sent a message.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Sender {
@@ -150,6 +153,7 @@
         for address in round.forgotten {
             log::info!(target: "hosts", other = address.to_string().as_str(); "forgotten");
         }
+        self.report();
         let own = host.pulse();
         for pulse in round.pulses {
             self.send(host, pulse.to, wire::Body::Pulse(own.clone().to(pulse)));
@@ -161,6 +165,21 @@
         self.gather(host);
     }
 
+    /// Logs which hosts came into reach or out of it.
+    fn report(&self) {
+        let moved = self.members.borrow_mut().take_moved();
+        for (event, alive) in [("reached", true), ("out of reach", false)] {
+            let hosts: Vec<_> = moved.iter().filter(|it| it.1 == alive).map(|it| it.0).collect();
+            if hosts.is_empty() {
+                continue;
+            }
+            let names: Vec<_> = hosts.iter().take(NAMED).map(net::SocketAddr::to_string).collect();
+            let (names, count) = (names.join(","), hosts.len());
+            let all = self.members.borrow().alive().len() + 1;
+            log::info!(target: "hosts", count, all, others = names.as_str(); "{event}");
+        }
+    }
+
     /// Passes news on when some have gathered.
     fn gather(&self, host: &rc::Rc<host::Host>) {
         if self.gathering.get() || !self.members.borrow().has_news() {
@@ -172,6 +191,7 @@
             tokio::time::sleep(news::GATHER).await;
             host.peers.gathering.set(false);
             let told = host.peers.members.borrow_mut().flush(host.clock.now());
+            host.peers.report();
             for (to, statements) in told {
                 let statements = wire::list(statements);
                 let body = wire::Body::Statements(wire::Statements { statements });
--- a/sequoiacrank-kernel/src/edge/members.rs
+++ b/sequoiacrank-kernel/src/edge/members.rs
@@ -214,6 +214,8 @@
     quick: id::Time,
     /// Time at which all statements were asked for last.
     asked: Option<id::Time>,
+    /// Hosts that came into reach or out of it since that was last asked for.
+    moved: Vec<(net::SocketAddr, bool)>,
     /// Number of hosts that are reached, with this one, and what tells their statements from others.
     reached: (u32, u64),
     parts: parts::Parts,
@@ -233,6 +235,7 @@
             fewer: None,
             quick: YOUNG,
             asked: None,
+            moved: Vec::new(),
             reached: (1, own.digest()),
             parts: parts::Parts::default(),
             own,
@@ -430,6 +433,11 @@
         forgotten
     }
 
+    /// Hosts that came into reach (true) or out of it since the last call.
+    pub fn take_moved(&mut self) -> Vec<(net::SocketAddr, bool)> {
+        std::mem::take(&mut self.moved)
+    }
+
     /// Time until this host knows which others live, at a time since its start. Before that it may take
     /// itself for the one that forms calls of stage work. Hosts with a small share of a core hear of
     /// others later when all start together.
--- a/sequoiacrank-kernel/src/edge/members/reach.rs
+++ b/sequoiacrank-kernel/src/edge/members/reach.rs
@@ -84,6 +84,7 @@
                 member.asked = false;
                 member.since = now;
                 self.parts.see(now, *address);
+                self.moved.push((*address, alive));
                 self.met = if alive { Some(now) } else { self.met };
             }
         }
