--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -181,7 +181,7 @@
     /// Takes over a pulse of another host.
     pub fn heard(self: &rc::Rc<Self>, sender: peer::Sender, pulse: &wire::Pulse) {
         let from = sender.address;
-        self.peers.learn(self, from, members::Signs::from(pulse));
+        self.peers.learn(self, from, members::pulse::Signs::from(pulse));
         self.take_digests(sender, &pulse.moves);
         if let Some(age) = pulse.fresh {
             let now = self.clock.now();
--- a/sequoiacrank-edge/src/peer/mod.rs
+++ b/sequoiacrank-edge/src/peer/mod.rs
@@ -3,6 +3,7 @@
 //! A host keeps a connection to each host that it speaks to, on which it only sends; answers come on the other's
 //! own connection. Who lives, and what each is told, is decided by [`members`].
 
+mod link;
 pub mod wire;
 
 use std::cell;
@@ -18,23 +19,17 @@
 use sequoiacrank_kernel::edge::members::statement;
 use sequoiacrank_kernel::id;
 use tokio::io::AsyncReadExt as _;
-use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
 use tokio::task;
 
 use crate::client;
 use crate::host;
 
-/// Time to connect to another host, several times the way between availability zones. A machine without
-/// power does not answer.
-const CONNECT: time::Duration = time::Duration::from_millis(250);
-/// Time between two attempts to connect.
+/// Time until the next connection is accepted after one could not be.
 const AGAIN: time::Duration = time::Duration::from_millis(200);
 /// Time after which a connection that is not used is closed: several times that between two pulses.
 const IDLE: time::Duration = time::Duration::from_secs(10);
-
 /// Names of hosts in one log line: when many come or go at once, their number tells enough.
 const NAMED: usize = 4;
 
@@ -53,32 +48,9 @@
     }
 }
 
-struct Link {
-    sender: mpsc::UnboundedSender<wire::Frame>,
-    task: task::JoinHandle<()>,
-    connected: rc::Rc<cell::Cell<bool>>,
-    /// Time of the last message.
-    used: id::Time,
-}
-
-impl Link {
-    fn open(now: id::Time, address: net::SocketAddr) -> Self {
-        let (sender, receiver) = mpsc::unbounded_channel();
-        let connected = rc::Rc::new(cell::Cell::new(false));
-        let task = task::spawn_local(deliver(address, receiver, connected.clone()));
-        Link { sender, task, connected, used: now }
-    }
-}
-
-impl Drop for Link {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
 /// Connections to other hosts.
 pub struct Peers {
-    links: cell::RefCell<collections::BTreeMap<net::SocketAddr, Link>>,
+    links: cell::RefCell<collections::BTreeMap<net::SocketAddr, link::Link>>,
     members: cell::RefCell<members::Members>,
     /// Whether news are gathered.
     gathering: cell::Cell<bool>,
@@ -101,7 +73,7 @@
         }
         let now = host.clock.now();
         let mut links = self.links.borrow_mut();
-        let link = links.entry(to).or_insert_with(|| Link::open(now, to));
+        let link = links.entry(to).or_insert_with(|| link::Link::open(now, to));
         link.used = now;
         let (from, process) = (host.settings.peer.to_string(), host.process);
         // Fails only while the connection is made anew; whoever waits for an answer asks again.
@@ -159,7 +131,7 @@
             self.send(host, pulse.to, wire::Body::Pulse(own.clone().to(pulse)));
         }
         for address in round.silent {
-            self.links.borrow_mut().insert(address, Link::open(now, address));
+            self.links.borrow_mut().insert(address, link::Link::open(now, address));
         }
         self.links.borrow_mut().retain(|_, link| now < link.used + IDLE);
         self.gather(host);
@@ -228,12 +200,12 @@
     fn reach(&self, now: id::Time, address: net::SocketAddr) {
         let mut links = self.links.borrow_mut();
         if links.get(&address).is_some_and(|link| !link.connected.get()) {
-            links.insert(address, Link::open(now, address));
+            links.insert(address, link::Link::open(now, address));
         }
     }
 
     /// Takes over what a pulse says of its sender.
-    pub fn learn(&self, host: &host::Host, from: net::SocketAddr, signs: members::Signs) {
+    pub fn learn(&self, host: &host::Host, from: net::SocketAddr, signs: members::pulse::Signs) {
         let now = host.clock.now();
         let mut members = self.members.borrow_mut();
         members.learn(now, from, signs);
@@ -286,59 +258,6 @@
     }
 }
 
-/// Keeps a connection to a host and writes its messages.
-async fn deliver(
-    address: net::SocketAddr,
-    mut frames: mpsc::UnboundedReceiver<wire::Frame>,
-    connected: rc::Rc<cell::Cell<bool>>,
-) {
-    while let Some(first) = frames.recv().await {
-        let stream = tokio::time::timeout(CONNECT, TcpStream::connect(address)).await;
-        match stream.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into())) {
-            Ok(stream) => {
-                connected.set(true);
-                let result = write(stream, first, &mut frames).await;
-                connected.set(false);
-                let Err(err) = result else { continue };
-                let other = address.to_string();
-                let err = err.to_string();
-                log::info!(target: "hosts", other = other.as_str(), err = err.as_str(); "broken");
-            }
-            // Hosts that are down are told by the missing pulses; a line for each attempt tells nothing.
-            Err(_) => tokio::time::sleep(AGAIN).await,
-        }
-        // What was said meanwhile is out of date.
-        while frames.try_recv().is_ok() {}
-    }
-}
-
-/// Writes messages until the other side closes the connection: its process has ended, and a message on it would
-/// be lost.
-async fn write(
-    mut stream: TcpStream,
-    first: wire::Frame,
-    frames: &mut mpsc::UnboundedReceiver<wire::Frame>,
-) -> std::io::Result<()> {
-    client::guard(&stream)?;
-    let (mut reader, mut writer) = stream.split();
-    let mut buffer = BytesMut::new();
-    let mut nothing = [0];
-    let mut next = Some(first);
-    while let Some(frame) = next {
-        wire::encode(&frame, &mut buffer);
-        while let Ok(frame) = frames.try_recv() {
-            wire::encode(&frame, &mut buffer);
-        }
-        writer.write_all(&buffer).await?;
-        buffer.clear();
-        next = tokio::select! {
-            frame = frames.recv() => frame,
-            _ = reader.read(&mut nothing) => None,
-        };
-    }
-    Ok(())
-}
-
 /// Takes messages of other hosts.
 pub async fn listen(host: rc::Rc<host::Host>, listener: TcpListener) {
     let mut connection = 0;
--- a/sequoiacrank-edge/src/peer/wire/mod.rs
+++ b/sequoiacrank-edge/src/peer/wire/mod.rs
@@ -212,7 +212,7 @@
 
 impl Pulse {
     /// The same with what is for one receiver alone.
-    pub fn to(self, pulse: members::Pulse) -> Self {
+    pub fn to(self, pulse: members::pulse::Pulse) -> Self {
         let signs = pulse.signs;
         Pulse {
             number: signs.number,
@@ -233,10 +233,10 @@
     statements.into_iter().map(statement::Statement::from).collect()
 }
 
-impl From<&Pulse> for members::Signs {
+impl From<&Pulse> for members::pulse::Signs {
     fn from(wire: &Pulse) -> Self {
         let age = time::Duration::from_millis(wire.age);
-        members::Signs {
+        members::pulse::Signs {
             number: wire.number,
             heard: wire.heard,
             chosen: wire.chosen,
--- a/sequoiacrank-kernel/src/edge/members.rs
+++ b/sequoiacrank-kernel/src/edge/members.rs
@@ -13,6 +13,7 @@
 pub mod news;
 pub mod overlay;
 pub mod parts;
+pub mod pulse;
 pub mod statement;
 
 mod reach;
@@ -43,42 +44,13 @@
 const SETTLED: time::Duration = time::Duration::from_millis(2000);
 /// Time without a message after which a neighbour counts as lost.
 const LOST: time::Duration = time::Duration::from_millis(1300);
-/// Time after which a host that is not reached is forgotten.
-const FORGET: time::Duration = time::Duration::from_secs(20);
-/// Time for which a process that was forgotten is not learned again from others that know it still.
-const ENDED: time::Duration = time::Duration::from_secs(60);
 /// Time for which a host is passed over that did not answer in time.
 const PASSED: time::Duration = time::Duration::from_secs(2);
 /// Times that this is doubled for a host that is not heard in between.
 const DOUBLINGS: u32 = 3;
-/// Time for which the other side may hear no pulse before the connection is made anew: four pulses.
-const MISSED: time::Duration = time::Duration::from_millis(1600);
 /// Time for which a host stays a neighbour after another one took its place on a ring: the new one is heard by
 /// then.
 const LINGER: time::Duration = time::Duration::from_secs(1);
-/// Hosts out of reach that get a pulse in each round, and one more for so many of them: those behind a cut are
-/// found when it ends, and those that lost all their neighbours find others.
-const PROBES: usize = 2;
-const PROBED: usize = 32;
-/// Rounds in which pulses are told all others that live once: ten seconds.
-const REFRESH: u64 = 25;
-
-/// What a pulse says beside statements.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Signs {
-    /// Number of the pulse.
-    pub number: u64,
-    /// Number of the last pulse that its sender got from this host.
-    pub heard: u64,
-    /// Whether the sender has chosen this host as a neighbour, and wants pulses from it.
-    pub chosen: bool,
-    /// Largest number of hosts that is known to the sender.
-    pub known: parts::Known,
-    /// Number of hosts that the sender reaches, itself included.
-    pub reached: u32,
-    /// Tells their statements from others.
-    pub digest: u64,
-}
 
 /// What a message tells of the process that sent it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -172,28 +144,6 @@
     pub draw: u64,
 }
 
-/// A pulse to one host.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Pulse {
-    /// The host.
-    pub to: net::SocketAddr,
-    /// What it says.
-    pub signs: Signs,
-    /// Statements that the host may not know.
-    pub statements: Vec<statement::Statement>,
-}
-
-/// What is to be done at a pulse.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Round {
-    /// Pulses to send.
-    pub pulses: Vec<Pulse>,
-    /// Hosts to which the connection is made anew, because they do not hear this one.
-    pub silent: Vec<net::SocketAddr>,
-    /// Hosts that were not reached for long and are no members any more.
-    pub forgotten: Vec<net::SocketAddr>,
-}
-
 /// All other hosts.
 #[derive(Clone, Debug)]
 pub struct Members {
@@ -252,30 +202,6 @@
         true
     }
 
-    /// The first pulse to a host.
-    pub fn hello(&self, now: id::Time, to: net::SocketAddr) -> Pulse {
-        self.pulse_to(now, to, vec![self.own.clone()])
-    }
-
-    fn pulse_to(
-        &self,
-        now: id::Time,
-        to: net::SocketAddr,
-        statements: Vec<statement::Statement>,
-    ) -> Pulse {
-        let member = self.members.get(&to);
-        let (reached, digest) = self.reached;
-        let signs = Signs {
-            number: self.number,
-            heard: member.map_or(0, |member| member.numbers.0),
-            chosen: member.is_some_and(|member| now < member.chosen),
-            known: self.parts.most(now),
-            reached,
-            digest,
-        };
-        Pulse { to, signs, statements }
-    }
-
     /// Tells the process that sent a message from others at its address. Connections are numbered as they were
     /// accepted: a process that has ended made its own before a later one did, but what it sent may be read
     /// after.
@@ -298,7 +224,7 @@
 
     /// Notes a message of a host. Returns the pulse that introduces its neighbours to it, if it was not heard
     /// before.
-    pub fn hear(&mut self, now: id::Time, from: net::SocketAddr) -> Option<Pulse> {
+    pub fn hear(&mut self, now: id::Time, from: net::SocketAddr) -> Option<pulse::Pulse> {
         let member = self.members.get_mut(&from)?;
         let new = !member.is_heard(now);
         member.heard = Some(now);
@@ -320,25 +246,6 @@
         Some(self.pulse_to(now, from, statements))
     }
 
-    /// Takes over what a pulse says of its sender.
-    pub fn learn(&mut self, now: id::Time, from: net::SocketAddr, signs: Signs) {
-        let Some(member) = self.members.get_mut(&from) else { return };
-        if signs.heard != member.numbers.1 {
-            member.echoed = now;
-        }
-        member.numbers = (signs.number, signs.heard);
-        if signs.chosen {
-            if now >= member.chooses {
-                self.news.stir(true);
-            }
-            member.chooses = now + LOST;
-        }
-        let same = signs.digest == self.reached.1;
-        member.reaches = signs.reached;
-        member.differs = if same { 0 } else { member.differs + 1 };
-        self.parts.learn(now, signs.known);
-    }
-
     /// Notes whether this host leaves, whether it does not reach the store, and which endpoints crashed on its
     /// calls.
     pub fn state(&mut self, leaving: bool, blind: bool, crashes: Vec<crash::Told>) {
@@ -349,90 +256,6 @@
         }
     }
 
-    /// What to send at the next pulse. Hosts that were not reached for long are forgotten.
-    pub fn pulse(&mut self, now: id::Time) -> Round {
-        self.number += 1;
-        let stood = now.saturating_sub(self.beat);
-        if stood > 2 * PULSE && self.number > 1 {
-            // This process stood still, so that messages wait unread: it says nothing of others.
-            for member in self.members.values_mut() {
-                member.heard = member.heard.map(|at| at + stood);
-            }
-        }
-        self.beat = now;
-        let forgotten = self.forget(now);
-        self.parts.age(now);
-        if self.number.is_multiple_of(REFRESH) {
-            for (&address, _) in self.members.iter().filter(|(_, it)| it.alive) {
-                self.parts.see(now, address);
-            }
-        }
-        self.refresh(now);
-        let mut round = Round { forgotten, ..Round::default() };
-        for (to, new) in self.near(now) {
-            let statements = if new { vec![self.own.clone()] } else { Vec::new() };
-            round.pulses.push(self.pulse_to(now, to, statements));
-            let Some(member) = self.members.get_mut(&to) else { continue };
-            if now > member.echoed + MISSED {
-                member.echoed = now;
-                round.silent.push(to);
-            }
-        }
-        for to in self.probes(now) {
-            round.pulses.push(self.hello(now, to));
-        }
-        round
-    }
-
-    /// Time between the last pulse and the next one.
-    pub fn pause(&self, now: id::Time) -> time::Duration {
-        if now < self.quick { YOUNG_PULSE } else { PULSE }
-    }
-
-    /// Neighbours that get pulses, with whether each was none in the last round: it has heard none yet.
-    fn near(&mut self, now: id::Time) -> Vec<(net::SocketAddr, bool)> {
-        let mut near = Vec::new();
-        for (&address, member) in &mut self.members {
-            let paired = member.is_neighbour(now);
-            let new = paired && !member.paired;
-            member.paired = paired;
-            if new {
-                member.echoed = now;
-            }
-            if paired {
-                near.push((address, new));
-            }
-        }
-        near
-    }
-
-    /// Hosts out of reach that get a pulse in this round: all while there are few, else each in its turn.
-    fn probes(&self, now: id::Time) -> Vec<net::SocketAddr> {
-        let lost = |it: &Member| !it.alive && !it.is_neighbour(now);
-        let lost: Vec<_> =
-            self.members.iter().filter(|(_, it)| lost(it)).map(|(&it, _)| it).collect();
-        let few = if now < SETTLE { 2 * PROBES } else { PROBES + lost.len() / PROBED };
-        let first = (self.places[0] as usize).wrapping_add(self.number as usize * few);
-        let turn = |place: usize| lost[first.wrapping_add(place) % lost.len()];
-        (0..lost.len().min(few)).map(turn).collect()
-    }
-
-    fn forget(&mut self, now: id::Time) -> Vec<net::SocketAddr> {
-        let old = |it: &Member| !it.alive && !it.is_heard(now) && now >= it.since + FORGET;
-        let forgotten: Vec<_> =
-            self.members.iter().filter(|(_, it)| old(it)).map(|(&it, _)| it).collect();
-        for &address in &forgotten {
-            let Some(told) = self.members.remove(&address).and_then(|it| it.told) else { continue };
-            // One that said it leaves has ended since.
-            if told.leaving {
-                self.parts.end(address);
-            }
-            self.ended.insert(address, (told.order(), now));
-        }
-        self.ended.retain(|_, (_, at)| now < *at + ENDED);
-        forgotten
-    }
-
     /// Hosts that came into reach (true) or out of it since the last call.
     pub fn take_moved(&mut self) -> Vec<(net::SocketAddr, bool)> {
         std::mem::take(&mut self.moved)
--- a/sequoiacrank-kernel/src/edge/members/news.rs
+++ b/sequoiacrank-kernel/src/edge/members/news.rs
@@ -169,7 +169,12 @@
 
     /// Whether to ask a host whose pulse was just taken for all statements: it told for a while that it knows
     /// others than this host, or this one has just started, or knows nothing of it.
-    pub fn ask(&mut self, now: id::Time, from: net::SocketAddr, signs: &members::Signs) -> bool {
+    pub fn ask(
+        &mut self,
+        now: id::Time,
+        from: net::SocketAddr,
+        signs: &members::pulse::Signs,
+    ) -> bool {
         let Some(member) = self.members.get_mut(&from) else { return false };
         if member.is_back(now) && !std::mem::replace(&mut member.asked, true) {
             // What is known of those behind it is older than the cut.
--- a/sequoiacrank-kernel/tests/edge/members.rs
+++ b/sequoiacrank-kernel/tests/edge/members.rs
@@ -29,12 +29,16 @@
 fn pair() -> members::Members {
     let mut host = host(0);
     host.add(site::ms(0), address(1));
-    speak(&mut host, 100, members::Signs { chosen: true, ..members::Signs::default() });
+    speak(
+        &mut host,
+        100,
+        members::pulse::Signs { chosen: true, ..members::pulse::Signs::default() },
+    );
     host
 }
 
 /// Host 1 says that it hears host 0.
-fn speak(host: &mut members::Members, at: u64, signs: members::Signs) {
+fn speak(host: &mut members::Members, at: u64, signs: members::pulse::Signs) {
     let now = site::ms(at);
     let hears = vec![statement::short(statement(0).process)];
     let told = statement::Statement { hears, version: 2, ..statement(1) };
@@ -81,7 +85,11 @@
     assert!(host.unsettled(site::ms(700)).is_some());
     assert!(host.unsettled(site::ms(1000)).is_none());
     // One that joins later changes nothing.
-    speak(&mut host, 5000, members::Signs { chosen: true, ..members::Signs::default() });
+    speak(
+        &mut host,
+        5000,
+        members::pulse::Signs { chosen: true, ..members::pulse::Signs::default() },
+    );
     assert!(host.is_alive(address(1)));
     assert!(host.unsettled(site::ms(5001)).is_none());
 }
@@ -102,7 +110,8 @@
     let mut silent = Vec::new();
     for number in 1..12 {
         // The other side hears none of the pulses.
-        let signs = members::Signs { number, chosen: true, ..members::Signs::default() };
+        let signs =
+            members::pulse::Signs { number, chosen: true, ..members::pulse::Signs::default() };
         speak(&mut host, number * 400, signs);
         silent.push(!host.pulse(site::ms(number * 400)).silent.is_empty());
     }
@@ -223,12 +232,12 @@
     assert_eq!(host.part(site::ms(10_000), span), part(1, 1.0));
     host.add(site::ms(0), address(1));
     assert_eq!(host.part(site::ms(20_000), span), part(2, 0.0));
-    let signs = members::Signs { chosen: true, ..members::Signs::default() };
+    let signs = members::pulse::Signs { chosen: true, ..members::pulse::Signs::default() };
     speak(&mut host, 20_000, signs);
     assert_eq!(host.part(site::ms(20_000), span), part(2, 1.0));
     // The other one knows of more that this one does not hear, and passes that on with its age.
     let known = parts::Known { hosts: 7, age: site::ms(5000) };
-    host.learn(site::ms(20_100), address(1), members::Signs { known, ..signs });
+    host.learn(site::ms(20_100), address(1), members::pulse::Signs { known, ..signs });
     assert_eq!(host.part(site::ms(20_100), span), part(7, 1.0));
     assert_eq!(host.hello(site::ms(21_100), address(1)).signs.known.age, site::ms(6000));
     // Whoever knew it has not said so for long.
--- a/sequoiacrank-kernel/tests/edge/mesh.rs
+++ b/sequoiacrank-kernel/tests/edge/mesh.rs
@@ -30,7 +30,7 @@
 /// What a host says to another one.
 #[derive(Clone)]
 enum Message {
-    Pulse(members::Signs, Vec<statement::Statement>),
+    Pulse(members::pulse::Signs, Vec<statement::Statement>),
     Statements(Vec<statement::Statement>),
     Everything,
 }
