A host that stood still notices lost neighbours in time

Cause, found by reading: behind a pause the next pulse moves the times of the last messages on by the whole pause, so that a process which stood still says nothing of others. Messages that were read between the pause and that pulse got a time in the future, and a neighbour that was lost then stayed in use for as long as the pause had been, for all hosts. Ruled out: suspended machines, whose steady clock does not count the time.

Change: that time is now at the latest. The test (a pause of 10 s, then a lost neighbour) failed before: the neighbour was in use 2.4 s later; now it is out of use within the 2.5 s that are the aim.

The comment on a failed send says when it can happen.

--- a/sequoiacrank-edge/src/peer/mod.rs
+++ b/sequoiacrank-edge/src/peer/mod.rs
@@ -76,7 +76,7 @@
         let link = links.entry(to).or_insert_with(|| link::Link::open(now, to));
         link.used = now;
         let (from, process) = (host.settings.peer.to_string(), host.process);
-        // Fails only while the connection is made anew; whoever waits for an answer asks again.
+        // Fails only behind the end of the link's task, which lives as long as the link.
         let _ = link.sender.send(wire::Frame { from, process, body: Some(body) });
     }
 
--- a/sequoiacrank-kernel/src/edge/members/pulse.rs
+++ b/sequoiacrank-kernel/src/edge/members/pulse.rs
@@ -111,9 +111,10 @@
         self.number += 1;
         let stood = now.saturating_sub(self.beat);
         if stood > 2 * members::PULSE && self.number > 1 {
-            // This process stood still, so that messages wait unread: it says nothing of others.
+            // This process stood still, so that messages wait unread: it says nothing of others. Some may have
+            // been read since.
             for member in self.members.values_mut() {
-                member.heard = member.heard.map(|at| at + stood);
+                member.heard = member.heard.map(|at| (at + stood).min(now));
             }
         }
         self.beat = now;
--- a/sequoiacrank-kernel/tests/edge/members.rs
+++ b/sequoiacrank-kernel/tests/edge/members.rs
@@ -136,6 +136,19 @@
     assert_eq!(host.sharers(site::ms(920_000)), 1);
 }
 
+/// What waited unread while a process stood still is read before its next pulse; a neighbour that is lost then is
+/// noticed as soon as any other one.
+#[test]
+fn a_host_that_stood_still_notices_a_loss_in_time() {
+    let mut host = pair();
+    (1..5).for_each(|beat| drop(host.pulse(site::ms(beat * 400))));
+    let signs = members::pulse::Signs { chosen: true, ..members::pulse::Signs::default() };
+    speak(&mut host, 11_600, signs);
+    // Out of use within 2.5 s.
+    (29..=35).for_each(|beat| drop(host.pulse(site::ms(beat * 400))));
+    assert!(!host.is_alive(address(1)));
+}
+
 /// A host that does not answer is passed over for longer each time, until it is heard again.
 #[test]
 fn a_host_that_never_answers_is_asked_less_and_less() {
