Requests without an answer are logged and counted, with the reason

The log could not tell why a stream was cut, as the error of the send that was to continue it was dropped, nor that a request or a connection of a caller had ended without an answer. Hypotheses of the incident could not be told apart.

Each has a log line now, and unanswered_total counts both by why.

--- a/sequoiacrank-edge/src/exchange/mod.rs
+++ b/sequoiacrank-edge/src/exchange/mod.rs
@@ -2,10 +2,12 @@
 
 mod admission;
 mod choice;
+mod pending;
 pub mod repeat;
 mod send;
 
 use std::cell;
+use std::fmt;
 use std::rc;
 use std::sync;
 use std::time;
@@ -101,16 +103,29 @@
     Failed(code::Code),
 }
 
+impl fmt::Display for SendError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            SendError::Unsent(_) => f.write_str("not sent"),
+            SendError::Refused(status) => write!(f, "refused with status {}", status.as_u16()),
+            SendError::Abandoned(_) => f.write_str("given up for another endpoint"),
+            SendError::Failed(code) => write!(f, "failed with code {}", code.number()),
+        }
+    }
+}
+
 /// Answers a request of a caller.
 pub async fn serve(
     host: &rc::Rc<host::Host>,
     request: http::Request<body::Incoming>,
 ) -> front::Answer {
     let (parts, body) = request.into_parts();
+    let pending = pending::Pending::begin(host, &parts.headers);
     let mut answer = match admission::admit(host, parts, body).await {
         Ok(exchange) => rc::Rc::new(exchange).run().await,
         Err(refusal) => refusal.answer(),
     };
+    pending.end();
     if host.stop.is_leaving() {
         let close = http::HeaderValue::from_static("close");
         answer.headers_mut().insert(http::header::CONNECTION, close);
--- a/sequoiacrank-edge/src/front.rs
+++ b/sequoiacrank-edge/src/front.rs
@@ -74,7 +74,7 @@
     let mut connection = std::pin::pin!(connection);
     if host.stop.is_closing() {
         // Its first request is refused, and that answer closes the connection.
-        let _ = connection.await;
+        log_end(connection.await);
         return;
     }
     let mut phases = host.stop.phases();
@@ -84,15 +84,21 @@
             future::pending::<()>().await;
         }
     };
-    // Errors are ignored, as they only say that the caller disconnected. A request that this
-    // cancels is logged where it is cancelled.
-    tokio::select! {
+    let result = tokio::select! {
         biased;
-        _ = connection.as_mut() => {}
+        result = connection.as_mut() => result,
         () = closing => {
             connection.as_mut().graceful_shutdown();
-            let _ = connection.await;
+            connection.await
         }
+    };
+    log_end(result);
+}
+
+/// Logs why a connection of a caller failed. A request that this cancels has a line of its own.
+fn log_end(result: hyper::Result<()>) {
+    if let Err(err) = result {
+        log::info!(target: "front", err = err.to_string().as_str(); "connection failed");
     }
 }
 
--- a/sequoiacrank-edge/src/metrics.rs
+++ b/sequoiacrank-edge/src/metrics.rs
@@ -18,6 +18,8 @@
     pub calls: prometheus::IntCounterVec,
     /// Repeats of requests, by service and whether the budget granted them.
     pub repeats: prometheus::IntCounterVec,
+    /// Requests whose callers got no complete answer, by why.
+    pub unanswered: prometheus::IntCounterVec,
     /// Changes in what endpoints report about themselves, by kind.
     pub notices: prometheus::IntCounterVec,
     /// Requests to endpoints with a limit, by whether the limit allowed them.
@@ -71,6 +73,10 @@
                 &registry,
                 counters("repeats_total", "Requests sent once more", &["service", "outcome"]),
             ),
+            unanswered: register(
+                &registry,
+                counters("unanswered_total", "Requests without a complete answer", &["why"]),
+            ),
             notices: register(
                 &registry,
                 counters("notices_total", "What endpoints newly said of themselves", &["kind"]),
--- a/sequoiacrank-edge/src/stream.rs
+++ b/sequoiacrank-edge/src/stream.rs
@@ -168,6 +168,7 @@
                 match resume(&exchange, events.last_id(), permit).await {
                     Some(next) => upstream = next,
                     None => {
+                        exchange.host.metrics.unanswered.with_label_values(&["truncated"]).inc();
                         log::warn!(target: "request", id, code = code::Code::OutcomeLost.number(); "stream ended early");
                         // This fails only if the caller has disconnected too.
                         let _ = sender.send(Err(StreamError::Truncated)).await;
@@ -185,17 +186,24 @@
     last: Option<u64>,
     permit: Option<repeat::Permit>,
 ) -> Option<exchange::Upstream> {
-    let mut permit = permit?;
+    let id = exchange.head.attempt.as_str();
+    let Some(mut permit) = permit else {
+        log::info!(target: "request", id, last, reason = "no repeat granted"; "stream not resumed");
+        return None;
+    };
     let upstream = loop {
         match exchange.resume(last.unwrap_or_default(), permit).await {
             Ok(upstream) => break upstream,
             Err(exchange::SendError::Abandoned(next)) => permit = next,
-            Err(_) => return None,
+            Err(err) => {
+                let reason = err.to_string();
+                log::info!(target: "request", id, last, reason = reason.as_str(); "stream not resumed");
+                return None;
+            }
         }
     };
     let is_success = upstream.head.status.is_success();
     let status = upstream.head.status.as_u16();
-    let id = exchange.head.attempt.as_str();
     log::info!(target: "request", id, endpoint = upstream.call.endpoint.as_str(), last, status; "stream resumed");
     is_success.then_some(upstream)
 }
