A silent endpoint keeps its request until another one has taken it over

Callers saw streams that ended in the middle, and 502, although their endpoint was sound: it was silent for a second and would have gone on.

Cause: a wait without progress was taken for a failure. The send was given up, with its connection, as soon as another endpoint seemed open and the budget granted a repeat. If that endpoint was full, refused, failed or could not be reached, or the stage work for it was refused, nothing was left.

The other endpoint now gets the request while the silent one works on. The silent one is left when the other one has begun its answer, or has had a stream for 250 ms without a refusal; if it speaks first, the send to the other one is cancelled. A silence prefers other endpoints for a second and marks nothing as lost.

--- a/sequoiacrank-edge/src/exchange/admission.rs
+++ b/sequoiacrank-edge/src/exchange/admission.rs
@@ -10,6 +10,7 @@
 use sequoiacrank_adapter::ingress;
 use sequoiacrank_kernel::code;
 use sequoiacrank_kernel::id;
+use tokio::sync::watch;
 
 use crate::exchange;
 use crate::front;
@@ -108,7 +109,7 @@
         results: cell::RefCell::new(None),
         tried: cell::RefCell::default(),
         reserved: cell::RefCell::default(),
-        sends: cell::Cell::new(0),
+        sends: watch::Sender::new(0),
         maybe_ran: cell::Cell::new(false),
         _active: active,
     })
--- a/sequoiacrank-edge/src/exchange/mod.rs
+++ b/sequoiacrank-edge/src/exchange/mod.rs
@@ -2,12 +2,13 @@
 
 mod admission;
 mod choice;
+mod error;
+pub mod handover;
 mod pending;
 pub mod repeat;
 mod send;
 
 use std::cell;
-use std::fmt;
 use std::rc;
 use std::sync;
 use std::time;
@@ -22,6 +23,7 @@
 use sequoiacrank_kernel::edge::fleet;
 use sequoiacrank_kernel::edge::stage;
 use sequoiacrank_kernel::id;
+use tokio::sync::watch;
 
 use crate::body::Body;
 use crate::client;
@@ -33,6 +35,8 @@
 use crate::stop;
 use crate::stream;
 
+pub use error::SendError;
+
 /// HTTP status of the result codes that say that a request did not run.
 const NOT_RUN_STATUS: u16 = 503;
 /// Shortest time until the deadline in which a request is still sent to an endpoint.
@@ -74,7 +78,7 @@
     /// Endpoint that was acquired before the stage work began, and when.
     reserved: cell::RefCell<Option<(choice::Target, id::Time)>>,
     /// Number of sends so far.
-    sends: cell::Cell<u32>,
+    sends: watch::Sender<u32>,
     /// Whether an endpoint may have run it.
     maybe_ran: cell::Cell<bool>,
     _active: stop::ActiveRequest,
@@ -90,30 +94,6 @@
     pub(crate) decoded: call::Answer,
 }
 
-/// Why a send has no answer for the caller.
-pub enum SendError {
-    /// The request did not reach the endpoint. The permit of this send can be used again.
-    Unsent(repeat::Permit),
-    /// The endpoint refused the request without running it.
-    Refused(http::StatusCode),
-    /// The endpoint was slow, so the send was abandoned; the permit is for another endpoint. The
-    /// request may have run.
-    Abandoned(repeat::Permit),
-    /// The request may have run. The code is for the caller if the request is not sent again.
-    Failed(code::Code),
-}
-
-impl fmt::Display for SendError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            SendError::Unsent(_) => f.write_str("not sent"),
-            SendError::Refused(status) => write!(f, "refused with status {}", status.as_u16()),
-            SendError::Abandoned(_) => f.write_str("given up for another endpoint"),
-            SendError::Failed(code) => write!(f, "failed with code {}", code.number()),
-        }
-    }
-}
-
 /// Answers a request of a caller.
 pub async fn serve(
     host: &rc::Rc<host::Host>,
@@ -155,7 +135,7 @@
             .requests
             .with_label_values(&[&self.route.name, &number.to_string()])
             .inc();
-        log::warn!(target: "request", id = self.head.attempt.as_str(), route = self.route.name.as_str(), code = number, version = self.version, known = self.records_age(), sends = self.sends.get(), took, after; "refused");
+        log::warn!(target: "request", id = self.head.attempt.as_str(), route = self.route.name.as_str(), code = number, version = self.version, known = self.records_age(), sends = self.send_count(), took, after; "refused");
         refusal.answer()
     }
 
@@ -243,7 +223,7 @@
         let mut permit = self.request_permit("first");
         loop {
             if self.time_left() < MIN_TIME_LEFT {
-                let code = match self.sends.get() {
+                let code = match self.send_count() {
                     0 => code::Code::TooSlow,
                     _ => code::Code::Deadline,
                 };
@@ -294,7 +274,7 @@
                 Ok(self.request_permit("another endpoint"))
             }
             SendError::Refused(http::StatusCode::CONFLICT) if self.results.borrow().is_some() => {
-                if self.sends.get() > 1 {
+                if self.send_count() > 1 {
                     return Err(refusal::Refusal::retry_soon(code::Code::QueueFull));
                 }
                 // The endpoint found no stage results under the handles. They are made again, but
@@ -306,14 +286,10 @@
                 }
                 Ok(permit)
             }
-            SendError::Refused(_) if self.sends.get() >= self.route.max_attempts => {
+            SendError::Refused(_) if self.send_count() >= self.route.max_attempts => {
                 Err(refusal::Refusal::retry_soon(code::Code::QueueFull))
             }
             SendError::Refused(_) => Ok(self.request_permit("refused")),
-            SendError::Abandoned(permit) => {
-                self.maybe_ran.set(true);
-                Ok(Some(permit))
-            }
             SendError::Failed(code) => {
                 self.maybe_ran.set(true);
                 self.retry_permit("lost").map(Some).ok_or(refusal::Refusal::new(code))
@@ -321,12 +297,17 @@
         }
     }
 
-    /// Sends the request to another endpoint that is to continue a stream after event `last`.
+    /// Sends the request to another endpoint. `resume` is the last event that the caller has of a
+    /// stream that is to be continued.
     ///
     /// # Errors
     ///
     /// When no endpoint is available or the send fails.
-    pub async fn resume(&self, last: u64, permit: repeat::Permit) -> Result<Upstream, SendError> {
+    pub async fn send_elsewhere(
+        &self,
+        resume: Option<u64>,
+        permit: repeat::Permit,
+    ) -> Result<Upstream, SendError> {
         if self.results.borrow().is_none() && self.run_stages().await.is_err() {
             return Err(SendError::Unsent(permit));
         }
@@ -334,7 +315,7 @@
             return Err(SendError::Unsent(permit));
         };
         self.tried.borrow_mut().push(endpoint.clone());
-        self.send(&endpoint, address, Some(last), permit).await
+        self.send(&endpoint, address, resume, permit).await
     }
 
     /// Makes the answer to the caller from that of an endpoint.
@@ -381,7 +362,7 @@
         let first = host::millis(first);
         let took = host::millis(self.host.clock.now().saturating_sub(self.began));
         self.host.metrics.requests.with_label_values(&[route, "0"]).inc();
-        log::info!(target: "request", id, route, status = status.as_u16(), sends = self.sends.get(), first, took; "answered");
+        log::info!(target: "request", id, route, status = status.as_u16(), sends = self.send_count(), first, took; "answered");
     }
 
     /// Updates the estimate of the time that requests of the route need after their stages.
--- a/sequoiacrank-edge/src/exchange/repeat.rs
+++ b/sequoiacrank-edge/src/exchange/repeat.rs
@@ -15,14 +15,14 @@
 impl exchange::Exchange {
     /// Whether the request may be sent to one more endpoint.
     pub fn may_repeat(&self) -> bool {
-        let is_exhausted = self.sends.get() >= self.route.max_attempts;
+        let is_exhausted = self.send_count() >= self.route.max_attempts;
         self.route.is_repeatable() && !is_exhausted && self.time_left() > exchange::MIN_TIME_LEFT
     }
 
     /// Asks for a permit for the next send; `why` is the reason for it in the logs. A send that the
     /// endpoint refused has consumed its permit too, as it reached the endpoint.
     pub fn request_permit(&self, why: &'static str) -> Option<Permit> {
-        let is_first = self.sends.get() == 0;
+        let is_first = self.send_count() == 0;
         (is_first || self.try_repeat(why)).then_some(Permit(()))
     }
 
@@ -57,7 +57,7 @@
         let outcome = if granted { "granted" } else { "refused" };
         self.host.metrics.repeats.with_label_values(&[&self.service, outcome]).inc();
         let (id, service) = (self.head.attempt.as_str(), self.service.as_str());
-        let (sends, age) = (self.sends.get(), host::millis(self.host.clock.now()));
+        let (sends, age) = (self.send_count(), host::millis(self.host.clock.now()));
         let shares::Share { hosts, earned } = *share;
         log::info!(target: "request", id, service, why, granted, sends, repeats, requests, most, hosts, earned, age; "repeat");
     }
--- a/sequoiacrank-edge/src/exchange/send.rs
+++ b/sequoiacrank-edge/src/exchange/send.rs
@@ -14,6 +14,7 @@
 use crate::client;
 use crate::clock;
 use crate::exchange;
+use crate::exchange::handover;
 use crate::exchange::repeat;
 use crate::host;
 use crate::in_flight;
@@ -23,7 +24,20 @@
 /// endpoint may have to process the prompt before the first event.
 const FIRST_BYTE_SHARE: (f64, f64) = (1.0, 0.6);
 
+/// The head of an answer, or why there is none.
+type Answer = Result<http::Response<body::Incoming>, client::Error>;
+
 impl exchange::Exchange {
+    /// Number of sends so far.
+    pub fn send_count(&self) -> u32 {
+        *self.sends.borrow()
+    }
+
+    /// Takes back the count of a send that did not reach its endpoint.
+    fn uncount_send(&self) {
+        self.sends.send_modify(|sends| *sends -= 1);
+    }
+
     /// Whether an answer is an error of the endpoint.
     pub(super) fn is_failure(&self, upstream: &exchange::Upstream) -> bool {
         upstream.head.status.is_server_error()
@@ -41,32 +55,57 @@
         }
     }
 
-    /// Waits for the head of an answer. A slow endpoint is abandoned only once another one accepts
-    /// the request and the budget grants the repeat. Otherwise the work done so far would be lost
-    /// for no gain.
-    ///
-    /// # Errors
-    ///
-    /// The permit for the other endpoint, if this one is to be abandoned.
-    async fn await_head<F>(&self, pending: F) -> Result<F::Output, repeat::Permit>
+    /// Whether the head of an answer shows that the endpoint does not serve the request.
+    fn is_unusable(&self, answer: &Answer) -> bool {
+        let Ok(answer) = answer else { return true };
+        let decoded = call::Answer::decode(answer.status(), answer.headers(), &self.head.attempt);
+        decoded.refused || !decoded.matches_request || answer.status().is_server_error()
+    }
+
+    /// Waits for the head of an answer. If it does not come in time, another endpoint gets the
+    /// request as well, once the budget grants the repeat; the first of the two to answer serves
+    /// it.
+    async fn await_head<F>(&self, pending: F, resume: Option<u64>) -> handover::Head<'_, Answer>
     where
-        F: Future<Output = Result<http::Response<body::Incoming>, client::Error>>,
+        F: Future<Output = Answer>,
     {
         let mut pending = std::pin::pin!(pending);
+        let mut handover = None;
+        let mut permit: Option<repeat::Permit> = None;
         loop {
             let (began, timeout) = (self.host.clock.now(), self.first_byte_timeout());
-            if let Ok(answer) = tokio::time::timeout(timeout, &mut pending).await {
-                return Ok(answer);
-            }
-            if !self.may_repeat() {
-                return Ok(Err(client::Error::Timeout));
-            }
-            // After a pause of the process the answer may have arrived but not been read yet.
-            if self.host.clock.now() > began + timeout + clock::MAX_TIMER_DELAY {
-                continue;
-            }
-            if let Some(permit) = self.switch_permit("slow") {
-                return Err(permit);
+            tokio::select! {
+                biased;
+                answer = &mut pending => {
+                    return match handover {
+                        Some(handover) if self.is_unusable(&answer) => {
+                            handover::Head::Moving(handover.into_send(), Some(answer))
+                        }
+                        _ => handover::Head::Answer(answer),
+                    };
+                }
+                step = handover::step(&mut handover) => match (step, handover.take()) {
+                    (handover::Step::Ended(Ok(upstream)), _) if !self.is_failure(&upstream) => {
+                        return handover::Head::Moved(upstream);
+                    }
+                    (handover::Step::Ended(result), _) => permit = self.record_not_taken(result),
+                    (handover::Step::Overlapped, Some(handover)) => {
+                        return handover::Head::Moving(handover.into_send(), None);
+                    }
+                    (handover::Step::Overlapped, None) => {}
+                },
+                () = tokio::time::sleep(timeout), if handover.is_none() => {
+                    if !self.may_repeat() {
+                        return handover::Head::Answer(Err(client::Error::Timeout));
+                    }
+                    // After a pause of the process the answer may have arrived but not been read
+                    // yet.
+                    if self.host.clock.now() > began + timeout + clock::MAX_TIMER_DELAY {
+                        continue;
+                    }
+                    permit = permit.or_else(|| self.switch_permit("slow"));
+                    handover = permit.take().map(|permit| self.hand_over(resume, permit));
+                }
             }
         }
     }
@@ -97,37 +136,43 @@
         if !call.is_choice_valid() {
             return Err(self.withdraw(call, permit));
         }
-        self.sends.set(self.sends.get() + 1);
+        self.sends.send_modify(|sends| *sends += 1);
         call.record_sent(&self.route.name);
         let timeout = self.first_byte_timeout();
         let session = self.session.map(|session| format!("{session:016x}"));
-        log::info!(target: "request", id = self.head.attempt.as_str(), endpoint, send = self.sends.get(), session, version = self.version, known = self.records_age(), left = host::millis(self.time_left()), patience = host::millis(timeout), flight = host.facts.borrow().fleet.in_flight(endpoint); "sent");
-        let mut answer =
-            match self.await_head(connection.send(self.build_request(endpoint, resume))).await {
-                Ok(answer) => answer,
-                Err(permit) => return Err(self.abandon(call, permit)),
-            };
-        if answer.as_ref().is_err_and(client::Error::is_unsent) && connection.is_used() {
+        log::info!(target: "request", id = self.head.attempt.as_str(), endpoint, send = self.send_count(), session, version = self.version, known = self.records_age(), left = host::millis(self.time_left()), patience = host::millis(timeout), flight = host.facts.borrow().fleet.in_flight(endpoint); "sent");
+        let request = self.build_request(endpoint, resume);
+        let mut head = self.await_head(connection.send(request), resume).await;
+        let is_unsent = matches!(&head, handover::Head::Answer(Err(err)) if err.is_unsent());
+        if is_unsent && connection.is_used() {
             // The endpoint closed the connection while it was idle.
             connection = match host.pool.connect(address).await {
                 Ok(connection) => connection,
                 Err(err) => {
-                    self.sends.set(self.sends.get() - 1);
+                    self.uncount_send();
                     return Err(self.send_error(call, &err, permit));
                 }
             };
             if !call.is_choice_valid() {
-                self.sends.set(self.sends.get() - 1);
+                self.uncount_send();
                 return Err(self.withdraw(call, permit));
             }
-            answer = match self
-                .await_head(connection.send(self.build_request(endpoint, resume)))
-                .await
-            {
-                Ok(answer) => answer,
-                Err(permit) => return Err(self.abandon(call, permit)),
-            };
+            let request = self.build_request(endpoint, resume);
+            head = self.await_head(connection.send(request), resume).await;
         }
+        let answer = match head {
+            handover::Head::Answer(answer) => answer,
+            handover::Head::Moved(upstream) => {
+                self.end_handed_over(call, None);
+                return Ok(*upstream);
+            }
+            handover::Head::Moving(send, answer) => {
+                // Cancels the work at this endpoint.
+                drop(connection);
+                self.end_handed_over(call, answer);
+                return send.await.map(|upstream| *upstream);
+            }
+        };
         let answer = match answer {
             Ok(answer) => answer,
             Err(err) => return Err(self.send_error(call, &err, permit)),
@@ -166,12 +211,6 @@
         exchange::SendError::Unsent(permit)
     }
 
-    /// Ends a call to a slow endpoint, as the request goes to another one.
-    fn abandon(&self, call: in_flight::Call, permit: repeat::Permit) -> exchange::SendError {
-        self.record_failure(call, &client::Error::Timeout);
-        exchange::SendError::Abandoned(permit)
-    }
-
     /// Records a failed call and returns the error for it.
     fn send_error(
         &self,
@@ -198,7 +237,7 @@
             client::Error::Timeout if self.time_left() < exchange::MIN_TIME_LEFT => {
                 (fleet::End::Bad, code::Code::Deadline)
             }
-            client::Error::Timeout => (fleet::End::Lost, code::Code::StageFailed),
+            client::Error::Timeout => (fleet::End::Silent, code::Code::StageFailed),
             client::Error::Broken(_) | client::Error::TooLarge => {
                 (fleet::End::Broken, code::Code::OutcomeLost)
             }
--- a/sequoiacrank-edge/src/in_flight.rs
+++ b/sequoiacrank-edge/src/in_flight.rs
@@ -115,6 +115,7 @@
             fleet::End::Bad => "bad",
             fleet::End::Broken => "broken",
             fleet::End::Lost => "lost",
+            fleet::End::Silent => "silent",
             fleet::End::Replaced => "other",
             fleet::End::Cancelled => "dropped",
         };
@@ -124,7 +125,7 @@
         facts.fleet.end(now, &self.endpoint, self.fleet_call, end);
         let good = match end {
             fleet::End::Good => true,
-            fleet::End::Bad | fleet::End::Broken | fleet::End::Lost => false,
+            fleet::End::Bad | fleet::End::Broken | fleet::End::Lost | fleet::End::Silent => false,
             // These do not depend on the version that the endpoint runs.
             fleet::End::Full | fleet::End::Replaced | fleet::End::Cancelled => return,
         };
--- a/sequoiacrank-edge/src/stream.rs
+++ b/sequoiacrank-edge/src/stream.rs
@@ -17,7 +17,7 @@
 use crate::body::StreamError;
 use crate::clock;
 use crate::exchange;
-use crate::exchange::repeat;
+use crate::exchange::handover;
 use crate::host;
 
 /// Maximum number of events that are buffered until the caller reads them.
@@ -109,14 +109,16 @@
 }
 
 /// How an endpoint's part of a stream ended.
-enum End {
+enum End<'a> {
     /// The endpoint ended the stream.
     Complete,
     /// The caller disconnected.
     CallerGone,
-    /// The stream broke or stalled: how the call ended, why, and the permit for another endpoint if
-    /// one was granted.
-    Broken(fleet::End, &'static str, Option<repeat::Permit>),
+    /// Another endpoint continues the stream while this one is silent.
+    Moved(Box<exchange::Upstream>),
+    /// The stream broke, or the endpoint is silent: how the call ended, why, and the send to
+    /// another endpoint if one was begun.
+    Broken(fleet::End, &'static str, Option<handover::Send<'a>>),
 }
 
 /// Starts a task that forwards a stream; returns the body that receives it.
@@ -154,7 +156,12 @@
                 log::info!(target: "request", id, took, code = code::Code::Cancelled.number(); "caller gone");
                 return;
             }
-            End::Broken(end, reason, permit) => {
+            End::Moved(next) => {
+                events.discard_partial();
+                log_resumed(&exchange, &next, events.last_id());
+                exchange.end_silent(std::mem::replace(&mut upstream, *next).call);
+            }
+            End::Broken(end, reason, send) => {
                 let endpoint = upstream.call.endpoint.clone();
                 log::info!(target: "request", id, endpoint = endpoint.as_str(), last = events.last_id(), reason; "stream broken");
                 if end == fleet::End::Broken {
@@ -164,8 +171,7 @@
                 // Cancels the work at this endpoint before another one continues the stream.
                 drop(upstream.connection);
                 events.discard_partial();
-                let permit = permit.or_else(|| exchange.retry_permit("stream broken"));
-                match resume(&exchange, events.last_id(), permit).await {
+                match resume(&exchange, events.last_id(), send).await {
                     Some(next) => upstream = next,
                     None => {
                         exchange.host.metrics.unanswered.with_label_values(&["truncated"]).inc();
@@ -180,44 +186,50 @@
     }
 }
 
-/// Sends the request to another endpoint that continues the stream after event `last`.
+fn log_resumed(exchange: &exchange::Exchange, upstream: &exchange::Upstream, last: Option<u64>) {
+    let status = upstream.head.status.as_u16();
+    let id = exchange.head.attempt.as_str();
+    log::info!(target: "request", id, endpoint = upstream.call.endpoint.as_str(), last, status; "stream resumed");
+}
+
+/// Waits for the endpoint that continues a broken stream after event `last`: that of `send`, or
+/// another one.
 async fn resume(
     exchange: &exchange::Exchange,
     last: Option<u64>,
-    permit: Option<repeat::Permit>,
+    send: Option<handover::Send<'_>>,
 ) -> Option<exchange::Upstream> {
-    let id = exchange.head.attempt.as_str();
-    let Some(mut permit) = permit else {
-        log::info!(target: "request", id, last, reason = "no repeat granted"; "stream not resumed");
-        return None;
-    };
-    let upstream = loop {
-        match exchange.resume(last.unwrap_or_default(), permit).await {
-            Ok(upstream) => break upstream,
-            Err(exchange::SendError::Abandoned(next)) => permit = next,
-            Err(err) => {
-                let reason = err.to_string();
-                log::info!(target: "request", id, last, reason = reason.as_str(); "stream not resumed");
-                return None;
-            }
+    let send = match send {
+        Some(send) => send,
+        None => {
+            let permit = exchange.retry_permit("stream broken")?;
+            exchange.hand_over(Some(last.unwrap_or_default()), permit).into_send()
         }
     };
-    let is_success = upstream.head.status.is_success();
-    let status = upstream.head.status.as_u16();
-    log::info!(target: "request", id, endpoint = upstream.call.endpoint.as_str(), last, status; "stream resumed");
-    is_success.then_some(upstream)
+    match send.await {
+        Ok(upstream) if upstream.head.status.is_success() => {
+            log_resumed(exchange, &upstream, last);
+            Some(*upstream)
+        }
+        result => {
+            exchange.record_not_taken(result);
+            None
+        }
+    }
 }
 
 /// Forwards the events of one endpoint until its answer ends or stalls.
-async fn forward_events(
-    exchange: &exchange::Exchange,
+async fn forward_events<'a>(
+    exchange: &'a exchange::Exchange,
     body: &mut body::Incoming,
     events: &mut Events,
     sender: &mpsc::Sender<Result<Bytes, StreamError>>,
-) -> End {
+) -> End<'a> {
     // Only complete events that are not comments reset this time. A stream that sends other bytes
     // can still stall.
     let mut last_event = exchange.host.clock.now();
+    // The endpoint keeps the stream until another one has begun to continue it.
+    let mut handover = None;
     loop {
         let wait_start = exchange.host.clock.now();
         let idle = wait_start.saturating_sub(last_event);
@@ -225,20 +237,35 @@
             true => STALL_TIMEOUT.saturating_sub(idle).min(exchange.time_left()),
             false => exchange.time_left(),
         };
-        if timeout.is_zero() {
-            let permit = exchange.switch_permit("stream stalled");
-            if permit.is_some() || !exchange.may_repeat() {
-                return End::Broken(fleet::End::Lost, NO_EVENT, permit);
+        if timeout.is_zero() && handover.is_none() {
+            if !exchange.may_repeat() {
+                return End::Broken(fleet::End::Silent, NO_EVENT, None);
             }
-            // No other endpoint can take over, so this one gets more time instead of losing its
-            // work.
+            let last = Some(events.last_id().unwrap_or_default());
+            let permit = exchange.switch_permit("stream stalled");
+            handover = permit.map(|permit| exchange.hand_over(last, permit));
             last_event = wait_start;
             continue;
         }
         let frame = tokio::select! {
             biased;
             () = sender.closed() => return End::CallerGone,
-            frame = tokio::time::timeout(timeout, body.frame()) => frame,
+            frame = body.frame() => Some(frame),
+            step = handover::step(&mut handover) => match (step, handover.take()) {
+                (handover::Step::Ended(Ok(next)), _) if next.head.status.is_success() => {
+                    return End::Moved(next);
+                }
+                (handover::Step::Ended(result), _) => {
+                    exchange.record_not_taken(result);
+                    last_event = exchange.host.clock.now();
+                    continue;
+                }
+                (handover::Step::Overlapped, handover) => {
+                    let send = handover.map(handover::Handover::into_send);
+                    return End::Broken(fleet::End::Silent, NO_EVENT, send);
+                }
+            },
+            () = tokio::time::sleep(timeout), if handover.is_none() => None,
         };
         if exchange.host.clock.now() > wait_start + timeout + clock::MAX_TIMER_DELAY {
             // The process was paused, so events may have arrived but not been read yet.
@@ -246,12 +273,13 @@
         }
         let bytes = match frame {
             // The next pass finds that the timeout has expired, unless the process was paused.
-            Err(_) => continue,
-            Ok(Some(Err(_))) => {
-                return End::Broken(fleet::End::Broken, "connection lost", None);
+            None => continue,
+            Some(Some(Err(_))) => {
+                let send = handover.map(handover::Handover::into_send);
+                return End::Broken(fleet::End::Broken, "connection lost", send);
             }
-            Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-            Ok(None) => {
+            Some(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            Some(None) => {
                 let rest = events.take_rest();
                 let is_complete = rest.is_empty() || sender.send(Ok(rest)).await.is_ok();
                 return if is_complete { End::Complete } else { End::CallerGone };
@@ -267,6 +295,7 @@
                 return End::CallerGone;
             }
             if !comment_only {
+                handover = None;
                 // Taken after the send, which waits for a slow caller.
                 last_event = exchange.host.clock.now();
             }
--- a/sequoiacrank-kernel/src/edge/fleet.rs
+++ b/sequoiacrank-kernel/src/edge/fleet.rs
@@ -30,6 +30,8 @@
 const SILENT_FACTOR: u32 = 4;
 /// Shortest time without an answer after which an endpoint counts as silent.
 const MIN_SILENCE: time::Duration = time::Duration::from_millis(400);
+/// Time for which other endpoints are preferred to one that was silent, unless it answers.
+const SILENCE_TIME: time::Duration = time::Duration::from_secs(1);
 /// Two connections that break within this time count as a crash of the endpoint. A single one may
 /// be a lost answer, and avoiding the endpoint for it would make others process its sessions'
 /// prompts again. If the endpoint did crash, the next connection fails at once.
@@ -56,8 +58,10 @@
     /// The connection broke after the request was sent: the endpoint crashed, or only this answer
     /// was lost.
     Broken,
-    /// It could not be reached, or did not answer in time.
+    /// It could not be reached.
     Lost,
+    /// It was silent until another endpoint took the request over. It may be sound and go on.
+    Silent,
     /// Another endpoint answered at its address.
     Replaced,
     /// The host cancelled the call, which says nothing about the endpoint.
@@ -84,6 +88,8 @@
     failures: u32,
     /// Time until which it is avoided.
     backoff_until: id::Time,
+    /// Time until which it counts as silent.
+    silent_until: id::Time,
     /// Whether another endpoint has answered at its address since it was last registered.
     replaced: bool,
     /// When a connection to it last broke, if it has not answered since.
@@ -129,7 +135,7 @@
         match () {
             () if now < self.backoff_until => 3,
             () if self.failures > 0 && !self.calls.is_empty() => 3,
-            () if self.is_silent(now) => 2,
+            () if self.is_silent(now) || now < self.silent_until => 2,
             () if self.decayed_share(now) > MAX_FAILURE_SHARE => 1,
             () => 0,
         }
@@ -194,6 +200,7 @@
                     last_result: id::Time::ZERO,
                     failures: 0,
                     backoff_until: id::Time::ZERO,
+                    silent_until: id::Time::ZERO,
                     replaced: false,
                     last_break: None,
                     usual_latency: None,
@@ -329,6 +336,7 @@
         state.usual_latency =
             Some(state.usual_latency.map_or(took, |usual| (usual * 7 + took) / 8));
         state.failures = 0;
+        state.silent_until = id::Time::ZERO;
         state.last_break = None;
     }
 
@@ -340,7 +348,7 @@
         }
         let failed = match end {
             End::Good | End::Full => 0.0,
-            End::Bad | End::Broken | End::Lost | End::Replaced => 1.0,
+            End::Bad | End::Broken | End::Lost | End::Silent | End::Replaced => 1.0,
             End::Cancelled => return,
         };
         let share = state.decayed_share(now);
@@ -355,6 +363,7 @@
                 let backoff = MIN_BACKOFF * (1 << state.failures.min(4).saturating_sub(1));
                 state.backoff_until = state.backoff_until.max(now + backoff.min(MAX_BACKOFF));
             }
+            End::Silent => state.silent_until = now + SILENCE_TIME,
             _ => state.failures = 0,
         }
     }
