Open connections follow the idle time of the newest configuration

Callers that kept a connection by a raised limit found it closed as they sent a request. Cause: a connection took its limits when it was accepted and kept them.

The time is counted by the host now, from the end of the last answer, and is compared with the newest limit; a change of the limit wakes the connections. A connection without a request is shut down gracefully, so that a request that has arrived is still served, and closed after the time for a head.

--- a/sequoiacrank-edge/src/front.rs
+++ b/sequoiacrank-edge/src/front.rs
@@ -3,6 +3,7 @@
 use std::convert;
 use std::future;
 use std::io;
+use std::pin;
 use std::rc;
 use std::time;
 
@@ -12,6 +13,7 @@
 use hyper::service;
 use hyper_util::rt;
 use sequoiacrank_adapter::ingress;
+use sequoiacrank_kernel::edge::catalog;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task;
@@ -20,12 +22,16 @@
 use crate::client;
 use crate::exchange;
 use crate::host;
+use crate::idle;
 use crate::stop;
 
-/// Time for which a connection may be idle, until a configuration sets it.
-const DEFAULT_IDLE: time::Duration = time::Duration::from_secs(20);
-/// Size of the largest head of a request in bytes, until a configuration sets it.
-const DEFAULT_HEAD_BYTES: usize = 32 << 10;
+/// Limits on callers until a configuration sets them.
+pub const DEFAULT_LIMITS: catalog::Limits = catalog::Limits {
+    head_bytes: 32 << 10,
+    body_bytes: 0,
+    idle: time::Duration::from_secs(20),
+    head_time: time::Duration::from_secs(3),
+};
 /// Smallest buffer for heads in bytes. Hyper panics on a smaller one.
 const MIN_HEAD_BYTES: usize = 8192;
 /// Maximum number of headers of a request.
@@ -58,43 +64,66 @@
         log::info!(target: "front", err = err.to_string().as_str(); "setting socket options failed");
         return;
     }
-    let limits = host.facts.borrow().catalog.as_ref().map(|catalog| catalog.limits);
+    let idle = idle::Idle::new(host.clock);
     let handler = service::service_fn(|request| {
-        let host = host.clone();
-        async move { Ok::<_, convert::Infallible>(exchange::serve(&host, request).await) }
+        let (host, busy) = (host.clone(), idle.begin());
+        async move {
+            let answer = exchange::serve(&host, request).await;
+            Ok::<_, convert::Infallible>(busy.until_written(answer))
+        }
     });
+    let head_bytes = host.limits.borrow().head_bytes.max(MIN_HEAD_BYTES);
     let connection = http1::Builder::new()
-        .timer(rt::TokioTimer::new())
-        .header_read_timeout(limits.map_or(DEFAULT_IDLE, |limits| limits.idle))
-        .max_buf_size(
-            limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.head_bytes).max(MIN_HEAD_BYTES),
-        )
+        .header_read_timeout(None)
+        .max_buf_size(head_bytes)
         .max_headers(MAX_HEADERS)
         .serve_connection(rt::TokioIo::new(stream), handler);
     let mut connection = std::pin::pin!(connection);
-    if host.stop.is_closing() {
-        // Its first request is refused, and that answer closes the connection.
-        log_end(connection.await);
-        return;
-    }
     let mut phases = host.stop.phases();
-    let closing = async move {
+    let closing = async {
         // The sender lives as long as the host, which exits only after it has sent this phase.
         if phases.wait_for(|phase| *phase == stop::Phase::Closing).await.is_err() {
             future::pending::<()>().await;
         }
     };
+    // In the closing phase, the first request of a new connection is refused, and that answer
+    // closes the connection.
+    let is_closing = host.stop.is_closing();
     let result = tokio::select! {
         biased;
         result = connection.as_mut() => result,
-        () = closing => {
+        () = idle.expired(&host) => {
             connection.as_mut().graceful_shutdown();
-            connection.await
+            finish(&host, connection, &idle).await
+        }
+        () = closing, if !is_closing => {
+            connection.as_mut().graceful_shutdown();
+            finish(&host, connection, &idle).await
         }
     };
     log_end(result);
 }
 
+/// Serves the last request of a connection. If none has begun by then, the connection is closed
+/// after the time for a head.
+async fn finish<F>(
+    host: &host::Host,
+    mut connection: pin::Pin<&mut F>,
+    idle: &idle::Idle,
+) -> hyper::Result<()>
+where
+    F: Future<Output = hyper::Result<()>>,
+{
+    let head_time = host.limits.borrow().head_time;
+    loop {
+        match tokio::time::timeout(head_time, connection.as_mut()).await {
+            Ok(result) => return result,
+            Err(_) if idle.is_busy() => {}
+            Err(_) => return Ok(()),
+        }
+    }
+}
+
 /// Logs why a connection of a caller failed. A request that this cancels has a line of its own.
 fn log_end(result: hyper::Result<()>) {
     if let Err(err) = result {
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -8,6 +8,7 @@
 use sequoiacrank_adapter::store as topics;
 use sequoiacrank_config::edge;
 use sequoiacrank_kernel::edge::budget;
+use sequoiacrank_kernel::edge::catalog;
 use sequoiacrank_kernel::edge::members;
 use sequoiacrank_kernel::edge::members::statement;
 use sequoiacrank_kernel::edge::moves;
@@ -15,6 +16,7 @@
 use sequoiacrank_kernel::id;
 use sequoiacrank_kernel::map;
 use tokio::net::TcpListener;
+use tokio::sync::watch;
 use tokio::task;
 
 use crate::Error;
@@ -89,6 +91,8 @@
     pub pool: client::Pool,
     /// What this host knows from the store.
     pub facts: cell::RefCell<facts::Facts>,
+    /// Limits on callers of the newest configuration.
+    pub limits: watch::Sender<catalog::Limits>,
     /// Jobs of stage work that this host forms into calls.
     pub batcher: batcher::Batcher,
     /// Jobs of stage work that this host submitted to others.
@@ -124,6 +128,7 @@
             process,
             pool: client::Pool::new(clock),
             facts: cell::RefCell::new(facts::Facts::with_seed(rand::random())),
+            limits: watch::Sender::new(front::DEFAULT_LIMITS),
             batcher: batcher::Batcher::default(),
             pending_jobs: stages::PendingJobs::default(),
             grants: notices::Grants::default(),
@@ -165,6 +170,7 @@
         let end = self.facts.borrow().records(topic).end();
         let changed = self.facts.borrow_mut().apply_records(topic, page, complete, now, at);
         if changed {
+            self.update_limits();
             self.batcher.update(self);
         }
         let is_operators = topic == topics::Topic::Operators;
@@ -175,6 +181,13 @@
         }
     }
 
+    /// Makes the limits of the newest configuration known to open connections.
+    fn update_limits(&self) {
+        let limits = self.facts.borrow().catalog.as_ref().map(|catalog| catalog.limits);
+        let Some(limits) = limits else { return };
+        self.limits.send_if_modified(|old| std::mem::replace(old, limits) != limits);
+    }
+
     /// The part of a heartbeat that is the same for all neighbours.
     pub fn heartbeat(&self) -> wire::Pulse {
         let facts = self.facts.borrow();
--- a/sequoiacrank-edge/src/lib.rs
+++ b/sequoiacrank-edge/src/lib.rs
@@ -14,6 +14,7 @@
 mod facts;
 mod front;
 mod host;
+mod idle;
 mod in_flight;
 pub mod logs;
 mod metrics;
--- a/sequoiacrank-kernel/src/edge/catalog.rs
+++ b/sequoiacrank-kernel/src/edge/catalog.rs
@@ -124,7 +124,7 @@
 }
 
 /// Limits on what callers may send.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Limits {
     /// Maximum size of a request head, in bytes.
     pub head_bytes: usize,
@@ -132,6 +132,8 @@
     pub body_bytes: usize,
     /// Maximum idle time of a connection between two requests.
     pub idle: time::Duration,
+    /// Time in which the head of a request must arrive.
+    pub head_time: time::Duration,
 }
 
 /// A complete configuration.
--- a/sequoiacrank-kernel/tests/edge/site.rs
+++ b/sequoiacrank-kernel/tests/edge/site.rs
@@ -168,7 +168,12 @@
         }),
     };
     let services = world.services.iter().map(service).collect();
-    let limits = catalog::Limits { head_bytes: 1 << 14, body_bytes: 1 << 22, idle: ms(15_000) };
+    let limits = catalog::Limits {
+        head_bytes: 1 << 14,
+        body_bytes: 1 << 22,
+        idle: ms(15_000),
+        head_time: ms(3000),
+    };
     catalog::Catalog::new(1, Vec::new(), services, Vec::new(), limits)
 }
 
