A stream that ends inside an event has been broken off

Callers got a stream without its last pieces that looked complete. Cause: the end of an answer without a length is the end of its connection, and what was left in the buffer was passed on as the rest of the stream.

Such an end is a break now: another endpoint continues the stream, or the caller's answer ends early. unframed_stream_that_ends_inside_event failed before (it passed on events 1 to 3 and half of the next) and passes.

--- a/sequoiacrank-edge/src/stream.rs
+++ b/sequoiacrank-edge/src/stream.rs
@@ -86,10 +86,9 @@
         self.buffer.clear();
     }
 
-    /// Returns the rest of the buffer after the end of the stream.
-    pub fn take_rest(&mut self) -> Bytes {
-        self.searched = 0;
-        self.buffer.split().freeze()
+    /// Whether the buffer holds an incomplete event.
+    pub fn has_partial(&self) -> bool {
+        !self.buffer.is_empty()
     }
 
     /// Id of the last event that was returned.
@@ -286,11 +285,11 @@
                 return End::Broken(fleet::End::Broken, "connection lost", send);
             }
             Some(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-            Some(None) => {
-                let rest = events.take_rest();
-                let is_complete = rest.is_empty() || sender.send(Ok(rest)).await.is_ok();
-                return if is_complete { End::Complete } else { End::CallerGone };
+            Some(None) if events.has_partial() => {
+                let send = handover.map(handover::Handover::into_send);
+                return End::Broken(fleet::End::Broken, "ended inside an event", send);
             }
+            Some(None) => return End::Complete,
         };
         events.push(&bytes);
         while let Some(event) = events.next() {
