Parts of prompts that crash endpoints are refused, over all hosts

Callers of sound requests lost their answers as endpoints crashed one after the other: requests with one part in their prompts were sent to endpoint after endpoint, although five had ended under them.

Cause: crashes were counted by whole request, and no two of these are alike. A restarted host knew nothing of before, a request was asked for once, at admission, a crash was known when the next request met a refused connection, and the crash in an answer without a length passed for its end.

Crashes are counted by part of the prompt as well, the last one excepted. Of the parts that were in no served request, the smallest set that explains the crashes is refused from three crashed instances on. Hosts tell each other which instances crashed with which parts and which parts they served, all of them the crashes of refused parts. A broken connection is followed by a connection that shows whether the endpoint is down; so is the end of an answer without a length. Each send asks again.

--- a/sequoiacrank-edge/src/exchange/admission.rs
+++ b/sequoiacrank-edge/src/exchange/admission.rs
@@ -9,10 +9,12 @@
 use sequoiacrank_adapter::call;
 use sequoiacrank_adapter::ingress;
 use sequoiacrank_kernel::code;
+use sequoiacrank_kernel::edge::crash;
 use sequoiacrank_kernel::id;
 use tokio::sync::watch;
 
 use crate::exchange;
+use crate::exchange::suspect;
 use crate::front;
 use crate::host;
 use crate::refusal;
@@ -74,9 +76,8 @@
         }
     };
     let fingerprint = fingerprint(&parts, head.key.as_deref(), &body);
-    let crashes = host.facts.borrow().crashes.refusal(host.clock.now(), fingerprint);
-    if let Some(crashes) = crashes {
-        log::warn!(target: "request", id = id.as_str(), crashes, fingerprint; "suspect");
+    let identity = crash::Request::new(fingerprint, &head.prompt_parts);
+    if suspect::is_suspect(host, &id, &identity) {
         return Err(refuse(refusal::Refusal::new(code::Code::Suspect), &id));
     }
     let session = {
@@ -104,7 +105,7 @@
         service,
         workspace,
         body,
-        fingerprint,
+        identity,
         began,
         results: cell::RefCell::new(None),
         tried: cell::RefCell::default(),
--- a/sequoiacrank-edge/src/exchange/error.rs
+++ b/sequoiacrank-edge/src/exchange/error.rs
@@ -12,6 +12,8 @@
     Unsent(repeat::Permit),
     /// The endpoint refused the request without running it.
     Refused(http::StatusCode),
+    /// The request, or a part of its prompt, has crashed endpoints, so that it was not sent.
+    Suspect,
     /// The request may have run. The code is for the caller if the request is not sent again.
     Failed(code::Code),
 }
@@ -21,6 +23,7 @@
         match self {
             SendError::Unsent(_) => f.write_str("not sent"),
             SendError::Refused(status) => write!(f, "refused with status {}", status.as_u16()),
+            SendError::Suspect => f.write_str("suspect"),
             SendError::Failed(code) => write!(f, "failed with code {}", code.number()),
         }
     }
@@ -36,7 +39,7 @@
     pub fn into_permit(self) -> Option<repeat::Permit> {
         match self {
             SendError::Unsent(permit) => Some(permit),
-            SendError::Refused(_) | SendError::Failed(_) => None,
+            SendError::Refused(_) | SendError::Suspect | SendError::Failed(_) => None,
         }
     }
 }
--- a/sequoiacrank-edge/src/exchange/mod.rs
+++ b/sequoiacrank-edge/src/exchange/mod.rs
@@ -7,6 +7,7 @@
 mod pending;
 pub mod repeat;
 mod send;
+mod suspect;
 
 use std::cell;
 use std::rc;
@@ -20,6 +21,7 @@
 use sequoiacrank_adapter::store;
 use sequoiacrank_kernel::code;
 use sequoiacrank_kernel::edge::catalog;
+use sequoiacrank_kernel::edge::crash;
 use sequoiacrank_kernel::edge::fleet;
 use sequoiacrank_kernel::edge::stage;
 use sequoiacrank_kernel::id;
@@ -61,8 +63,8 @@
     /// Headers that are forwarded to endpoints.
     forwarded: http::HeaderMap,
     body: Bytes,
-    /// Hash that identifies the request if a caller sends it again.
-    fingerprint: id::Fingerprint,
+    /// What identifies the request if it crashes endpoints.
+    identity: crash::Request,
     pub(crate) began: id::Time,
     pub(crate) deadline: id::Time,
     /// When the route's target latency is over.
@@ -219,6 +221,10 @@
 
     /// Sends the request, again if needed, until an endpoint begins an answer for the caller.
     async fn send_until_answered(&self) -> Result<Upstream, refusal::Refusal> {
+        if !self.identity.parts.is_empty() {
+            // A host that has just started does not know yet which parts others refuse.
+            self.host.peers.wait_settled(&self.host).await;
+        }
         let mut unreached = 0;
         let mut permit = self.request_permit("first");
         loop {
@@ -290,6 +296,7 @@
                 Err(refusal::Refusal::retry_soon(code::Code::QueueFull))
             }
             SendError::Refused(_) => Ok(self.request_permit("refused")),
+            SendError::Suspect => Err(refusal::Refusal::new(code::Code::Suspect)),
             SendError::Failed(code) => {
                 self.maybe_ran.set(true);
                 self.retry_permit("lost").map(Some).ok_or(refusal::Refusal::new(code))
@@ -343,6 +350,11 @@
                 return self.refuse(refusal::Refusal::new(code));
             }
         };
+        if !decoded.framed && self.has_crashed(&call.endpoint).await {
+            self.record_broken(&call.endpoint);
+            call.end(fleet::End::Broken);
+            return self.refuse(refusal::Refusal::new(code::Code::OutcomeLost));
+        }
         let failed = head.status.is_server_error();
         call.end(if failed { fleet::End::Bad } else { fleet::End::Good });
         if let Some(keep_alive) = decoded.keep_alive.filter(|_| self.route.is_repeatable()) {
@@ -356,7 +368,7 @@
     /// Records that an endpoint's answer is complete; `first` is the time to its first byte.
     pub fn record_answered(&self, status: http::StatusCode, first: time::Duration) {
         if status.is_success() {
-            self.host.facts.borrow_mut().crashes.record_served(self.fingerprint);
+            self.record_served();
         }
         let (id, route) = (self.head.attempt.as_str(), self.route.name.as_str());
         let first = host::millis(first);
--- a/sequoiacrank-edge/src/exchange/send.rs
+++ b/sequoiacrank-edge/src/exchange/send.rs
@@ -16,6 +16,7 @@
 use crate::exchange;
 use crate::exchange::handover;
 use crate::exchange::repeat;
+use crate::exchange::suspect;
 use crate::host;
 use crate::in_flight;
 
@@ -136,6 +137,11 @@
         if !call.is_choice_valid() {
             return Err(self.withdraw(call, permit));
         }
+        // Stage work and queues come between admission and this send.
+        if self.is_suspect() {
+            call.end(fleet::End::Cancelled);
+            return Err(exchange::SendError::Suspect);
+        }
         self.sends.send_modify(|sends| *sends += 1);
         call.record_sent(&self.route.name);
         let timeout = self.first_byte_timeout();
@@ -189,7 +195,7 @@
                 log::warn!(target: "request", id, endpoint, status, took; "endpoint refused");
                 if misdirected {
                     // Another endpoint answers at its address, so it has ended.
-                    self.record_down(endpoint);
+                    suspect::record_down(host, endpoint);
                 }
                 call.end(if misdirected { fleet::End::Replaced } else { fleet::End::Full });
                 Err(exchange::SendError::Refused(head.status))
@@ -251,31 +257,13 @@
     fn record_crash(&self, endpoint: &str, end: fleet::End, err: &client::Error) {
         match err {
             client::Error::Connect(err) if err.kind() == io::ErrorKind::ConnectionRefused => {
-                self.record_down(endpoint);
+                suspect::record_down(&self.host, endpoint);
             }
             _ if end == fleet::End::Broken => self.record_broken(endpoint),
             _ => {}
         }
     }
 
-    /// Records that an endpoint's process has ended.
-    fn record_down(&self, endpoint: &str) {
-        let now = self.host.clock.now();
-        let requests = self.host.facts.borrow_mut().crashes.record_down(now, endpoint);
-        if requests > 0 {
-            log::info!(target: "endpoints", endpoint, requests; "crashed");
-        }
-    }
-
-    /// Records that the connection broke while an endpoint ran the request, which may have crashed
-    /// it.
-    pub fn record_broken(&self, endpoint: &str) {
-        let now = self.host.clock.now();
-        let mut facts = self.host.facts.borrow_mut();
-        let started_at = facts.fleet.get(endpoint).map_or(0, |entry| entry.started_at);
-        facts.crashes.record_broken(now, endpoint, started_at, self.fingerprint);
-    }
-
     /// The request to an endpoint.
     fn build_request(&self, endpoint: &str, resume: Option<u64>) -> http::Request<Bytes> {
         let results = self.results.borrow();
--- a/sequoiacrank-edge/src/peer/mod.rs
+++ b/sequoiacrank-edge/src/peer/mod.rs
@@ -122,9 +122,12 @@
     /// closes idle connections.
     pub fn send_heartbeats(&self, host: &rc::Rc<host::Host>) {
         let now = host.clock.now();
-        let crashes = host.facts.borrow().crashes.report(now);
+        let (crashes, parts) = {
+            let facts = host.facts.borrow();
+            (facts.crashes.report(now), facts.crashes.parts.report(now))
+        };
         let (leaving, without_store) = (host.stop.is_leaving(), host.without_store.get());
-        self.members.borrow_mut().set_state(leaving, without_store, crashes);
+        self.members.borrow_mut().set_state(leaving, without_store, crashes, parts);
         let round = self.members.borrow_mut().next_round(now);
         for address in round.forgotten {
             log::info!(target: "hosts", other = address.to_string().as_str(); "forgotten");
@@ -250,7 +253,8 @@
             }
         }
         let updates = self.members.borrow_mut().merge(now, from, statements);
-        for gossip::Update { host: other, process, restarted, leaving, crashes } in updates {
+        for update in updates {
+            let gossip::Update { host: other, process, restarted, leaving, .. } = update;
             let sender = Sender { address: other, process };
             if restarted {
                 host.batcher.abandon_earlier(host, sender);
@@ -260,9 +264,9 @@
             if leaving {
                 log::info!(target: "hosts", other = sender.to_string().as_str(); "leaving");
             }
-            if !crashes.is_empty() {
-                host.facts.borrow_mut().crashes.merge(now, &crashes);
-            }
+            let mut facts = host.facts.borrow_mut();
+            facts.crashes.merge(now, &update.crashes);
+            facts.crashes.parts.merge(now, &update.parts);
         }
     }
 
--- a/sequoiacrank-edge/src/peer/wire/statement.rs
+++ b/sequoiacrank-edge/src/peer/wire/statement.rs
@@ -3,6 +3,7 @@
 use std::net;
 
 use sequoiacrank_kernel::edge::crash;
+use sequoiacrank_kernel::edge::crash::parts;
 use sequoiacrank_kernel::edge::members::statement;
 
 /// What a host publishes about itself.
@@ -35,6 +36,40 @@
     /// Whether the host does not reach the store.
     #[prost(bool, tag = "9")]
     pub blind: bool,
+    /// Parts of prompts on which endpoints crashed, or that were served.
+    #[prost(message, repeated, tag = "10")]
+    pub parts: Vec<Part>,
+}
+
+/// A part of a prompt on which endpoints crashed, or that was served.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Part {
+    /// Hash that identifies the part.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Hashes of the endpoint instances that crashed; none if the part was served.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub ends: Vec<u64>,
+    /// Position in the prompt.
+    #[prost(uint32, tag = "3")]
+    pub position: u32,
+    /// Age of the last crash in minutes.
+    #[prost(uint32, tag = "4")]
+    pub age: u32,
+}
+
+impl From<parts::Report> for Part {
+    fn from(report: parts::Report) -> Self {
+        let parts::Report { part, position, instances, age } = report;
+        Part { part, ends: instances, position, age }
+    }
+}
+
+impl From<Part> for parts::Report {
+    fn from(wire: Part) -> Self {
+        let Part { part, ends, position, age } = wire;
+        parts::Report { part, position, instances: ends, age }
+    }
 }
 
 /// A request on which endpoints crashed.
@@ -72,6 +107,7 @@
             cpu: own.cpu,
             hears: own.hears,
             crashes: own.crashes.into_iter().map(Crash::from).collect(),
+            parts: own.parts.into_iter().map(Part::from).collect(),
         }
     }
 }
@@ -90,6 +126,7 @@
             cpu: wire.cpu,
             hears: wire.hears,
             crashes: wire.crashes.into_iter().map(crash::Report::from).collect(),
+            parts: wire.parts.into_iter().map(parts::Report::from).collect(),
         })
     }
 }
--- a/sequoiacrank-edge/src/stream.rs
+++ b/sequoiacrank-edge/src/stream.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 use http_body_util::BodyExt as _;
-use hyper::body;
 use sequoiacrank_kernel::code;
 use sequoiacrank_kernel::edge::fleet;
 use tokio::sync::mpsc;
@@ -140,7 +139,7 @@
     let mut events = Events { last_id: exchange.head.resume, ..Events::default() };
     let id = exchange.head.attempt.as_str();
     loop {
-        let end = forward_events(&exchange, &mut upstream.body, &mut events, &sender).await;
+        let end = forward_events(&exchange, &mut upstream, &mut events, &sender).await;
         match end {
             End::Complete => {
                 upstream.call.end(fleet::End::Good);
@@ -227,7 +226,7 @@
 /// Forwards the events of one endpoint until its answer ends or stalls.
 async fn forward_events<'a>(
     exchange: &'a exchange::Exchange,
-    body: &mut body::Incoming,
+    upstream: &mut exchange::Upstream,
     events: &mut Events,
     sender: &mpsc::Sender<Result<Bytes, StreamError>>,
 ) -> End<'a> {
@@ -256,7 +255,7 @@
         let frame = tokio::select! {
             biased;
             () = sender.closed() => return End::CallerGone,
-            frame = body.frame() => Some(frame),
+            frame = upstream.body.frame() => Some(frame),
             step = handover::step(&mut handover) => match (step, handover.take()) {
                 (handover::Step::Ended(Ok(next)), _) if next.head.status.is_success() => {
                     return End::Moved(next);
@@ -289,6 +288,12 @@
                 let send = handover.map(handover::Handover::into_send);
                 return End::Broken(fleet::End::Broken, "ended inside an event", send);
             }
+            Some(None) if !upstream.decoded.framed => {
+                return match exchange.has_crashed(&upstream.call.endpoint).await {
+                    true => End::Broken(fleet::End::Broken, "ended in a crash", None),
+                    false => End::Complete,
+                };
+            }
             Some(None) => return End::Complete,
         };
         events.push(&bytes);
--- a/sequoiacrank-kernel/src/edge/crash.rs
+++ b/sequoiacrank-kernel/src/edge/crash.rs
@@ -6,15 +6,21 @@
 //! suspect. Hosts report to each other which endpoints crashed, by instance: when one endpoint
 //! crashes for another reason, a popular request may be running on it for many hosts, and this
 //! counts as one crash.
+//!
+//! Requests that are not alike may crash endpoints by a part of their prompts; see [`parts`].
+
+pub mod parts;
 
+use std::sync;
 use std::time;
 
 use crate::id;
 use crate::map;
 use crate::suspect;
 
-/// Number of crashed endpoint instances, over all hosts, from which on a request is refused.
-const CRASH_THRESHOLD: usize = 3;
+/// Number of crashed endpoint instances, over all hosts, from which on a request is refused, or all
+/// requests with a part in their prompts.
+pub const CRASH_THRESHOLD: usize = 3;
 /// Time after a broken connection within which the endpoint is found to be down. Its registration
 /// expires after three missed heartbeats.
 const DETECTION_TIME: time::Duration = time::Duration::from_secs(5);
@@ -29,6 +35,39 @@
     xxhash_rust::xxh3::xxh3_64_with_seed(endpoint.as_bytes(), started_at)
 }
 
+/// What identifies a request in case that it crashes endpoints.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Hash of the request.
+    pub fingerprint: id::Fingerprint,
+    /// Parts of its prompt, in order and without the last one, which belongs to the request or its
+    /// session.
+    pub parts: sync::Arc<[parts::PartId]>,
+}
+
+impl Request {
+    /// A request with the parts of its prompt, including the last one.
+    pub fn new(fingerprint: id::Fingerprint, prompt: &[parts::PartId]) -> Self {
+        let shared = prompt.split_last().map_or(&[][..], |(_, shared)| shared);
+        Request { fingerprint, parts: shared.into() }
+    }
+}
+
+impl From<id::Fingerprint> for Request {
+    fn from(fingerprint: id::Fingerprint) -> Self {
+        Request::new(fingerprint, &[])
+    }
+}
+
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// The request itself.
+    Request(id::Fingerprint),
+    /// A part of its prompt.
+    Part(parts::PartId),
+}
+
 /// A request and the endpoint instances that crashed while they ran it for one host.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Report {
@@ -58,25 +97,24 @@
 #[derive(Clone, Debug, Default)]
 pub struct Crashes {
     /// Requests whose connections broke, by endpoint.
-    broken: map::FastMap<id::EndpointId, Vec<(id::Time, InstanceId, id::Fingerprint)>>,
+    broken: map::FastMap<id::EndpointId, Vec<(id::Time, InstanceId, Request)>>,
+    /// Crashes by part of a prompt.
+    pub parts: parts::Parts,
     crashes: map::FastMap<id::Fingerprint, map::FastMap<InstanceId, Crash>>,
 }
 
 impl Crashes {
     /// Records that a connection broke while the instance of an endpoint that started at
     /// `started_at` ran a request.
-    pub fn record_broken(
-        &mut self,
-        now: id::Time,
-        endpoint: &str,
-        started_at: u64,
-        request: id::Fingerprint,
-    ) {
+    pub fn record_broken<R>(&mut self, now: id::Time, endpoint: &str, started_at: u64, request: R)
+    where
+        R: Into<Request>,
+    {
         self.broken.retain(|_, list| {
             list.retain(|(at, ..)| now < *at + DETECTION_TIME);
             !list.is_empty()
         });
-        let run = (now, instance_id(endpoint, started_at), request);
+        let run = (now, instance_id(endpoint, started_at), request.into());
         self.broken.entry(endpoint.to_owned()).or_default().push(run);
     }
 
@@ -86,29 +124,44 @@
         let broken = self.broken.remove(endpoint).unwrap_or_default();
         let recent: Vec<_> =
             broken.into_iter().filter(|(at, ..)| now < *at + DETECTION_TIME).collect();
-        for &(_, instance, request) in &recent {
-            self.crashes_of(now, request).entry(instance).or_insert(Crash {
+        for (_, instance, request) in &recent {
+            self.crashes_of(now, request.fingerprint).entry(*instance).or_insert(Crash {
                 at: now,
                 own: true,
                 cleared: false,
             });
+            self.parts.record_crash(now, *instance, &request.parts);
         }
         recent.len()
     }
 
     /// Records that a request was served.
-    pub fn record_served(&mut self, request: id::Fingerprint) {
-        if let Some(crashes) = self.crashes.get_mut(&request) {
+    pub fn record_served<R>(&mut self, now: id::Time, request: R)
+    where
+        R: Into<Request>,
+    {
+        let request = request.into();
+        if let Some(crashes) = self.crashes.get_mut(&request.fingerprint) {
             crashes.values_mut().for_each(|crash| crash.cleared = true);
         }
+        self.parts.record_served(now, &request.parts);
     }
 
-    /// The number of instances that crashed on a request, over all hosts, if it is high enough to
-    /// refuse the request.
-    pub fn refusal(&self, now: id::Time, request: id::Fingerprint) -> Option<usize> {
-        let crashes = self.crashes.get(&request)?;
-        let crashes = crashes.values().filter(|crash| crash.counts(now)).count();
-        Some(crashes).filter(|&crashes| crashes >= CRASH_THRESHOLD)
+    /// Why a request is refused, and the number of instances that crashed, over all hosts. `None`
+    /// if there are too few.
+    pub fn refusal<R>(&self, now: id::Time, request: R) -> Option<(Cause, usize)>
+    where
+        R: Into<Request>,
+    {
+        let Request { fingerprint, parts } = request.into();
+        let part = self.parts.refusal(&parts);
+        let crashes = self.crashes.get(&fingerprint);
+        let crashes =
+            crashes.map_or(0, |all| all.values().filter(|crash| crash.counts(now)).count());
+        match part {
+            Some((part, crashes)) => Some((Cause::Part(part), crashes)),
+            None => (crashes >= CRASH_THRESHOLD).then_some((Cause::Request(fingerprint), crashes)),
+        }
     }
 
     /// What this host reports to others.
--- a/sequoiacrank-kernel/src/edge/members.rs
+++ b/sequoiacrank-kernel/src/edge/members.rs
@@ -25,6 +25,7 @@
 use std::time;
 
 use crate::edge::crash;
+use crate::edge::crash::parts;
 use crate::id;
 use crate::map;
 
@@ -276,12 +277,20 @@
         Some(self.heartbeat_to(now, from, statements))
     }
 
-    /// Sets whether this host is leaving, whether it does not reach the store, and which endpoints
-    /// crashed on its calls.
-    pub fn set_state(&mut self, leaving: bool, without_store: bool, crashes: Vec<crash::Report>) {
+    /// Sets whether this host is leaving, whether it does not reach the store, and what it reports
+    /// of endpoints that crashed.
+    pub fn set_state(
+        &mut self,
+        leaving: bool,
+        without_store: bool,
+        crashes: Vec<crash::Report>,
+        parts: Vec<parts::Report>,
+    ) {
         let own = &mut self.own;
-        if own.leaving != leaving || own.without_store != without_store || own.crashes != crashes {
-            (own.leaving, own.without_store, own.crashes) = (leaving, without_store, crashes);
+        let old = (own.leaving, own.without_store, &own.crashes, &own.parts);
+        if old != (leaving, without_store, &crashes, &parts) {
+            (own.leaving, own.without_store) = (leaving, without_store);
+            (own.crashes, own.parts) = (crashes, parts);
             self.gossip.mark_changed();
         }
     }
--- a/sequoiacrank-kernel/src/edge/members/gossip.rs
+++ b/sequoiacrank-kernel/src/edge/members/gossip.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use crate::edge::crash;
+use crate::edge::crash::parts;
 use crate::edge::members;
 use crate::edge::members::statement;
 use crate::id;
@@ -65,6 +66,8 @@
     pub leaving: bool,
     /// Reports of endpoints that crashed on its calls.
     pub crashes: Vec<crash::Report>,
+    /// Reports of parts of prompts.
+    pub parts: Vec<parts::Report>,
 }
 
 /// A host and the statements to send to it.
@@ -104,6 +107,7 @@
                 restarted: old.is_some_and(|old| old.process != new.process),
                 leaving: new.leaving && !old.is_some_and(|old| old.leaving),
                 crashes: new.crashes.clone(),
+                parts: new.parts.clone(),
             });
             self.gossip.pending.insert(new.host, vec![from, new.host]);
             self.gossip.dirty = true;
--- a/sequoiacrank-kernel/src/edge/members/statement.rs
+++ b/sequoiacrank-kernel/src/edge/members/statement.rs
@@ -3,6 +3,7 @@
 use std::net;
 
 use crate::edge::crash;
+use crate::edge::crash::parts;
 use crate::id;
 
 /// Short form of an [`id::Incarnation`], half as long. It tells apart processes that run at the
@@ -32,6 +33,8 @@
     pub hears: Vec<ShortId>,
     /// Endpoints that crashed on its calls, by request.
     pub crashes: Vec<crash::Report>,
+    /// Endpoints that crashed on its calls, by part of a prompt, and parts that it served.
+    pub parts: Vec<parts::Report>,
 }
 
 impl Statement {
@@ -47,6 +50,7 @@
             cpu,
             hears: Vec::new(),
             crashes: Vec::new(),
+            parts: Vec::new(),
         }
     }
 
--- a/sequoiacrank-kernel/tests/edge/crash.rs
+++ b/sequoiacrank-kernel/tests/edge/crash.rs
@@ -23,7 +23,7 @@
         hosts[own].record_broken(now, &endpoint, 1, CRASHING);
         hosts[own].record_down(now + site::ms(20), &endpoint);
         if served {
-            hosts.iter_mut().for_each(|host| host.record_served(CRASHING));
+            hosts.iter_mut().for_each(|host| host.record_served(now, CRASHING));
         }
         let report = hosts[own].report(now);
         for (_, host) in hosts.iter_mut().enumerate().filter(|(to, _)| *to != own) {
@@ -80,5 +80,8 @@
         hosts[0].record_broken(site::ms(started_at * 1000), "engine-1", started_at, CRASHING);
         hosts[0].record_down(site::ms(started_at * 1000 + 20), "engine-1");
     }
-    assert_eq!(hosts[0].refusal(site::ms(4000), CRASHING), Some(3));
+    assert_eq!(
+        hosts[0].refusal(site::ms(4000), CRASHING),
+        Some((crash::Cause::Request(CRASHING), 3))
+    );
 }
--- a/sequoiacrank-kernel/tests/edge/main.rs
+++ b/sequoiacrank-kernel/tests/edge/main.rs
@@ -7,6 +7,7 @@
 mod moves;
 mod notices;
 mod overlay;
+mod parts;
 mod site;
 mod stage_load;
 mod units;
