An entry that turns malformed names no endpoint any more

Cause: a malformed record under the key of a known endpoint was ignored, so the last valid entry stayed in force for as long as the malformed one stood. The record was not announced to the hosts that don't read the entries themselves either.

Change: the endpoint is removed until a valid entry comes, without counting as a crash, and the first malformed record of a key is announced like other changes.

--- a/sequoiacrank-edge/src/facts.rs
+++ b/sequoiacrank-edge/src/facts.rs
@@ -224,8 +224,7 @@
                         log::info!(target: "endpoints", endpoint = id.as_str(), service = service.as_str(), started, leaving, offset; "registered");
                     }
                 }
-                // Not the form of an entry: a record of another writer, which names no endpoint.
-                Some(None) => {}
+                Some(None) => has_changes |= self.reject_entry(id, offset),
                 None => {
                     self.change_offsets.insert(id.clone(), offset);
                     has_changes |= self.remove_endpoint(now, id);
@@ -235,6 +234,21 @@
         has_changes
     }
 
+    /// Removes the endpoint of an entry that is malformed, as an entry of another writer may be.
+    /// Returns whether it was known.
+    fn reject_entry(&mut self, id: &str, offset: id::Offset) -> bool {
+        self.lapsed.remove(id);
+        let known = self.fleet.remove(id);
+        // Only the first malformed entry of a key is a change for other hosts.
+        if known || !self.change_offsets.contains_key(id) {
+            self.change_offsets.insert(id.to_owned(), offset);
+        }
+        if known {
+            log::warn!(target: "endpoints", endpoint = id, offset; "entry malformed");
+        }
+        known
+    }
+
     /// Removes an endpoint whose entry was deleted, or marks it as lapsed after an outage. Returns
     /// whether it was removed.
     fn remove_endpoint(&mut self, now: id::Time, id: &str) -> bool {
