--- a/sequoiacrank-kernel/src/edge/stage/plan.rs
+++ b/sequoiacrank-kernel/src/edge/stage/plan.rs
@@ -98,7 +98,7 @@
         let work = &run.job.stages[stage];
         let followers: Vec<usize> = run::followers(&run.job.stages, stage).collect();
         let readers: u64 = followers.iter().map(|&next| u64::from(run.count(next))).sum();
-        let transferred = work.bytes * u64::from(work.pieces) * readers;
+        let transferred = work.bytes.saturating_mul(u64::from(work.pieces)).saturating_mul(readers);
         let mut services: Vec<&str> = vec![&work.service];
         services.extend(followers.iter().map(|&next| run.job.stages[next].service.as_str()));
         match &run.home_zone {
