Rates too small for an interval no longer end the choice of an endpoint

Cause: the interval of a rate was a division whose result may be out of range. The rate for a cold endpoint is the configuration's coldPerS, over the number of hosts, and may be that small if the settings add no slack.

--- a/sequoiacrank-kernel/src/edge/pace.rs
+++ b/sequoiacrank-kernel/src/edge/pace.rs
@@ -26,13 +26,17 @@
     pub warm: f64,
 }
 
+/// Wait returned for a rate of zero, and the longest one for any other rate.
+const NEVER: time::Duration = time::Duration::from_secs(24 * 3600);
+
 /// Time between two events at a rate below one per window.
 pub fn interval(rate: f64) -> time::Duration {
-    SPAN.div_f64(rate)
+    interval_in(SPAN, rate)
 }
 
-/// Wait returned for a rate of zero.
-const NEVER: time::Duration = time::Duration::from_secs(24 * 3600);
+fn interval_in(span: time::Duration, rate: f64) -> time::Duration {
+    time::Duration::try_from_secs_f64(span.as_secs_f64() / rate).unwrap_or(NEVER).min(NEVER)
+}
 
 /// Times of the events within the last window.
 #[derive(Clone, Debug)]
@@ -71,7 +75,9 @@
                 let index = self.events.len().checked_sub(rate as usize);
                 index.map_or(id::Time::ZERO, |index| self.events[index] + span)
             }
-            _ if rate > 0.0 => self.last().map_or(id::Time::ZERO, |at| at + span.div_f64(rate)),
+            _ if rate > 0.0 => {
+                self.last().map_or(id::Time::ZERO, |at| at + interval_in(span, rate))
+            }
             _ => return NEVER,
         };
         next.saturating_sub(now)
--- a/sequoiacrank-kernel/tests/edge/units.rs
+++ b/sequoiacrank-kernel/tests/edge/units.rs
@@ -99,6 +99,17 @@
     assert!(sent.len() >= 15, "{}", sent.len());
 }
 
+/// A rate so small that its interval is out of range must not overflow.
+#[test]
+fn pace_of_tiny_rates() {
+    for rate in [f64::MIN_POSITIVE, 1e-300, 1e-19, 1e-10, 0.0, -1.0, f64::NAN] {
+        assert!(pace::interval(rate) > time::Duration::from_secs(3600), "{rate}");
+        let mut pace = pace::Pace::default();
+        pace.record(site::ms(5));
+        assert!(!pace.allows(site::ms(10_000), rate), "{rate}");
+    }
+}
+
 /// Every request fails and is sent again if the budget allows it.
 #[test]
 fn repeats_stay_within_bound() {
