--- a/sequoiacrank-kernel/src/edge/notice.rs
+++ b/sequoiacrank-kernel/src/edge/notice.rs
@@ -13,6 +13,9 @@
 /// Lower bound on a limit, in requests per second. An endpoint with a lower limit still gets
 /// requests at this rate, since only an answer can report that the limit has changed.
 const MIN_RATE: f64 = 0.1;
+/// Upper bound on a limit, in requests per second: more than all hosts send. Multiples of a limit
+/// stay finite.
+const MAX_RATE: f64 = 1e9;
 /// Relative change of a limit above which it is reported as a change.
 const CHANGE_RATIO: f64 = 0.1;
 /// Longest pause that an endpoint is granted.
@@ -121,7 +124,7 @@
     /// and `at`. A new or lower limit counts if it may be later than the known report; a higher
     /// one, or none, only if it surely is.
     fn set_limit(&mut self, rate: Option<Rate>, at: id::Time, sent: id::Time) -> Option<Change> {
-        let rate = rate.map(|rate| rate.max(MIN_RATE));
+        let rate = rate.map(|rate| rate.clamp(MIN_RATE, MAX_RATE));
         let before = self.limit;
         let order = match (before, rate) {
             (Some(old), Some(rate)) if rate <= old => at,
--- a/sequoiacrank-kernel/tests/edge/notices.rs
+++ b/sequoiacrank-kernel/tests/edge/notices.rs
@@ -189,3 +189,18 @@
     assert_eq!(notices.wait(site::ms(100), INSTANCE, 1), site::ms(400));
     assert_eq!(notices.wait(site::ms(100), INSTANCE, 9), site::ms(400));
 }
+
+/// A limit too large to compute with must not keep requests from the endpoint: it bounds nothing.
+#[test]
+fn huge_limit() {
+    for rate in [1e9, 1e307, f64::MAX] {
+        let mut notices = notice::Notices::default();
+        notices.apply(site::ms(1), INSTANCE, &named(rate), accepted(0));
+        let known = notices.limit(INSTANCE).expect("no limit is known");
+        let mut limiter = limiter::Limiter::default();
+        for number in 0..100 {
+            let granted = limiter.grant(site::ms(10 + number), INSTANCE, known, 0);
+            assert_eq!(granted, Ok(()), "{rate}");
+        }
+    }
+}
