--- a/sequoiacrank-kernel/src/edge/catalog.rs
+++ b/sequoiacrank-kernel/src/edge/catalog.rs
@@ -88,6 +88,21 @@
     pub bytes: u64,
 }
 
+/// Whether stages can run in some order: each needs only stages that exist, and none needs itself,
+/// be it through others.
+pub fn can_run(stages: &[Stage]) -> bool {
+    let mut done = vec![false; stages.len()];
+    for _ in stages {
+        let ready = |stage: &Stage| stage.after.iter().all(|&it| done.get(it) == Some(&true));
+        let next = stages.iter().map(ready).collect();
+        if next == done {
+            break;
+        }
+        done = next;
+    }
+    done.into_iter().all(|it| it)
+}
+
 /// A service and the limits of its endpoints.
 #[derive(Clone, Debug)]
 pub struct Service {
