The last possible epoch in a statement does not overflow

Cause: a host raises its epoch above that of an earlier process at its address by a plain sum. A statement with the largest epoch ended the task that reads the sender's connection, and the end of that connection was not recorded (read in the code).

Change: the sum saturates.

--- a/sequoiacrank-kernel/src/edge/members/gossip.rs
+++ b/sequoiacrank-kernel/src/edge/members/gossip.rs
@@ -124,7 +124,7 @@
     /// Raises the epoch of this host above the one of an earlier process whose clock was ahead.
     fn supersede(&mut self, other: &statement::Statement) {
         if other.process != self.own.process && other.epoch >= self.own.epoch {
-            self.own.epoch = other.epoch + 1;
+            self.own.epoch = other.epoch.saturating_add(1);
             self.gossip.own_changed = true;
         }
     }
--- a/sequoiacrank-kernel/tests/edge/members.rs
+++ b/sequoiacrank-kernel/tests/edge/members.rs
@@ -49,6 +49,16 @@
     host.flush(now);
 }
 
+/// A statement about an earlier process of this host with the last possible epoch must not overflow.
+#[test]
+fn last_epoch_of_earlier_process() {
+    let mut own = host(0);
+    let earlier = statement::Statement { process: 7, epoch: u64::MAX, ..statement(0) };
+    assert!(own.merge(site::ms(1), address(1), vec![earlier]).is_empty());
+    own.flush(site::ms(2));
+    assert_eq!(own.statements()[0].epoch, u64::MAX);
+}
+
 /// Checks that no host is settled before it uses all others.
 fn check_settling(world: &mut mesh::World) {
     for tick in 0..2000 {
