--- a/sequoiacrank-edge/src/front.rs
+++ b/sequoiacrank-edge/src/front.rs
@@ -64,7 +64,7 @@
         log::info!(target: "front", err = err.to_string().as_str(); "setting socket options failed");
         return;
     }
-    let idle = idle::Idle::new(host.clock);
+    let idle = idle::Idle::new(&host);
     let handler = service::service_fn(|request| {
         let (host, busy) = (host.clone(), idle.begin());
         async move {
@@ -77,7 +77,7 @@
         .header_read_timeout(None)
         .max_buf_size(head_bytes)
         .max_headers(MAX_HEADERS)
-        .serve_connection(rt::TokioIo::new(stream), handler);
+        .serve_connection(idle::Stream::new(stream, idle.clone()), handler);
     let mut connection = std::pin::pin!(connection);
     let mut phases = host.stop.phases();
     let closing = async {
@@ -92,34 +92,30 @@
     let result = tokio::select! {
         biased;
         result = connection.as_mut() => result,
-        () = idle.expired(&host) => {
+        () = idle.expired(|limits| limits.idle) => {
             connection.as_mut().graceful_shutdown();
-            finish(&host, connection, &idle).await
+            finish(connection, &idle).await
         }
         () = closing, if !is_closing => {
             connection.as_mut().graceful_shutdown();
-            finish(&host, connection, &idle).await
+            finish(connection, &idle).await
         }
     };
     log_end(result);
 }
 
-/// Serves the last request of a connection. If none has begun by then, the connection is closed
-/// after the time for a head.
-async fn finish<F>(
-    host: &host::Host,
-    mut connection: pin::Pin<&mut F>,
-    idle: &idle::Idle,
-) -> hyper::Result<()>
+/// Serves the last request of a connection. If none has begun in the time for a head, the
+/// connection is closed.
+async fn finish<F>(mut connection: pin::Pin<&mut F>, idle: &idle::Idle) -> hyper::Result<()>
 where
     F: Future<Output = hyper::Result<()>>,
 {
-    let head_time = host.limits.borrow().head_time;
-    loop {
-        match tokio::time::timeout(head_time, connection.as_mut()).await {
-            Ok(result) => return result,
-            Err(_) if idle.is_busy() => {}
-            Err(_) => return Ok(()),
+    tokio::select! {
+        biased;
+        result = connection.as_mut() => result,
+        () = idle.expired(|limits| limits.idle + limits.head_time) => {
+            log::info!(target: "front", "idle connection closed");
+            Ok(())
         }
     }
 }
--- a/sequoiacrank-edge/src/idle.rs
+++ b/sequoiacrank-edge/src/idle.rs
@@ -1,22 +1,35 @@
 //! The idle time of callers' connections.
 
 use std::cell;
+use std::io;
 use std::pin;
 use std::rc;
 use std::task;
+use std::time;
 
 use hyper::body::Frame;
+use hyper_util::rt;
+use sequoiacrank_kernel::edge::catalog;
 use sequoiacrank_kernel::id;
+use tokio::net::TcpStream;
 
 use crate::body;
-use crate::clock;
 use crate::host;
 
-/// When a connection became idle; `None` while a request is in progress on it.
+/// Shortest limit, so that a limit of zero does not keep the process busy.
+const MIN_LIMIT: time::Duration = time::Duration::from_millis(100);
+
+/// When a connection became idle.
 #[derive(Clone)]
-pub struct Idle {
-    clock: clock::Clock,
-    since: rc::Rc<cell::Cell<Option<id::Time>>>,
+pub struct Idle(rc::Rc<State>);
+
+struct State {
+    host: rc::Rc<host::Host>,
+    /// When its last request ended, or its last byte was written; `None` while a request is in
+    /// progress on it.
+    since: cell::Cell<Option<id::Time>>,
+    /// Whether bytes wait to be written.
+    blocked: cell::Cell<bool>,
 }
 
 /// A request in progress. The connection is idle again when this is dropped.
@@ -24,11 +37,12 @@
 
 impl Drop for Busy {
     fn drop(&mut self) {
-        self.0.since.set(Some(self.0.clock.now()));
+        let state = &self.0.0;
+        state.since.set(Some(state.host.clock.now()));
     }
 }
 
-/// The body of an answer, which keeps its connection busy until it is written.
+/// The body of an answer, which keeps its connection busy until it is handed over for writing.
 pub struct Body {
     body: body::Body,
     _busy: Busy,
@@ -36,30 +50,34 @@
 
 impl Idle {
     /// A connection that is idle from now on.
-    pub fn new(clock: clock::Clock) -> Self {
-        Idle { clock, since: rc::Rc::new(cell::Cell::new(Some(clock.now()))) }
+    pub fn new(host: &rc::Rc<host::Host>) -> Self {
+        let since = cell::Cell::new(Some(host.clock.now()));
+        Idle(rc::Rc::new(State { host: host.clone(), since, blocked: cell::Cell::new(false) }))
     }
 
     /// Begins a request.
     pub fn begin(&self) -> Busy {
-        self.since.set(None);
+        self.0.since.set(None);
         Busy(self.clone())
     }
 
-    /// Whether a request is in progress.
-    pub fn is_busy(&self) -> bool {
-        self.since.get().is_none()
+    /// Time for which the connection has been idle; `None` if it is not.
+    fn time(&self) -> Option<time::Duration> {
+        let since = self.0.since.get().filter(|_| !self.0.blocked.get())?;
+        Some(self.0.host.clock.now().saturating_sub(since))
     }
 
-    /// Waits until the connection has been idle for longer than the limit of the newest
-    /// configuration.
-    pub async fn expired(&self, host: &host::Host) {
-        let mut limits = host.limits.subscribe();
+    /// Waits until the connection has been idle for the time that `limit` takes from the newest
+    /// limits.
+    pub async fn expired<F>(&self, limit: F)
+    where
+        F: Fn(&catalog::Limits) -> time::Duration,
+    {
+        let mut limits = self.0.host.limits.subscribe();
         loop {
-            let limit = limits.borrow_and_update().idle;
-            let idle = self.since.get().map(|since| host.clock.now().saturating_sub(since));
-            let left = limit.saturating_sub(idle.unwrap_or_default());
-            if left.is_zero() && idle.is_some() {
+            let limit = limit(&limits.borrow_and_update()).max(MIN_LIMIT);
+            let left = limit.saturating_sub(self.time().unwrap_or_default());
+            if left.is_zero() {
                 return;
             }
             tokio::select! {
@@ -69,6 +87,92 @@
             }
         }
     }
+
+    /// Records the result of a write.
+    fn record_write(&self, written: &task::Poll<io::Result<usize>>) {
+        let state = &self.0;
+        self.set_blocked(written.is_pending());
+        if written.is_ready() && state.since.get().is_some() {
+            state.since.set(Some(state.host.clock.now()));
+        }
+    }
+
+    fn set_blocked(&self, blocked: bool) {
+        if self.0.blocked.replace(blocked) != blocked {
+            self.0.host.stop.count_blocked(blocked);
+        }
+    }
+}
+
+impl Drop for State {
+    fn drop(&mut self) {
+        if self.blocked.get() {
+            self.host.stop.count_blocked(false);
+        }
+    }
+}
+
+/// A connection of a caller that records whether bytes wait to be written.
+pub struct Stream {
+    stream: rt::TokioIo<TcpStream>,
+    idle: Idle,
+}
+
+impl Stream {
+    /// The connection that `idle` belongs to.
+    pub fn new(stream: TcpStream, idle: Idle) -> Self {
+        Stream { stream: rt::TokioIo::new(stream), idle }
+    }
+}
+
+impl hyper::rt::Read for Stream {
+    fn poll_read(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buffer: hyper::rt::ReadBufCursor<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_read(cx, buffer)
+    }
+}
+
+impl hyper::rt::Write for Stream {
+    fn poll_write(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        bytes: &[u8],
+    ) -> task::Poll<io::Result<usize>> {
+        let written = pin::Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.idle.record_write(&written);
+        written
+    }
+
+    fn poll_flush(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+    ) -> task::Poll<io::Result<()>> {
+        pin::Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: pin::Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        bytes: &[io::IoSlice<'_>],
+    ) -> task::Poll<io::Result<usize>> {
+        let written = pin::Pin::new(&mut self.stream).poll_write_vectored(cx, bytes);
+        self.idle.record_write(&written);
+        written
+    }
 }
 
 impl Busy {
--- a/sequoiacrank-edge/src/stop.rs
+++ b/sequoiacrank-edge/src/stop.rs
@@ -34,11 +34,17 @@
 pub struct Stop {
     phase: watch::Sender<Phase>,
     active: cell::Cell<usize>,
+    /// Number of connections on which bytes wait to be written.
+    blocked: cell::Cell<usize>,
 }
 
 impl Default for Stop {
     fn default() -> Self {
-        Stop { phase: watch::Sender::new(Phase::Serving), active: cell::Cell::new(0) }
+        Stop {
+            phase: watch::Sender::new(Phase::Serving),
+            active: cell::Cell::new(0),
+            blocked: cell::Cell::new(0),
+        }
     }
 }
 
@@ -74,6 +80,12 @@
         ActiveRequest(host.clone())
     }
 
+    /// Counts a connection on which bytes begin or cease to wait to be written.
+    pub fn count_blocked(&self, blocked: bool) {
+        let count = self.blocked.get();
+        self.blocked.set(if blocked { count + 1 } else { count.saturating_sub(1) });
+    }
+
     /// Number of active requests.
     pub fn active_requests(&self) -> usize {
         self.active.get()
