A planned stop waits for answers that are still being written

Callers that read slowly lost the end of an answer in a planned stop: it waited for requests until their answers were made, and 50 ms more.

slow_reader_and_planned_stop got 73 of 100 bytes before and all of them now.

--- a/sequoiacrank-edge/src/stop.rs
+++ b/sequoiacrank-edge/src/stop.rs
@@ -116,8 +116,11 @@
     tokio::time::sleep(ACCEPT_TIME).await;
     host.stop.phase.send_replace(Phase::Closing);
     let deadline = began + host.reloadable.borrow().grace.mul_f64(1.0 - GRACE_RESERVE);
-    while host.clock.now() < deadline && (host.stop.active_requests() > 0 || host.batcher.len() > 0)
-    {
+    let is_busy = || {
+        let stop = &host.stop;
+        stop.active_requests() > 0 || stop.blocked.get() > 0 || host.batcher.len() > 0
+    };
+    while host.clock.now() < deadline && is_busy() {
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
     if host.stop.active_requests() > 0 {
