Handovers end with their caller, keep their permits, and pass on what is known

Found in review. A caller that left while a broken stream waited for another endpoint cancelled nothing (the endpoint worked on for 6.3 s). A permit of a handover that sent nothing was lost, an event without an end dropped a handover in progress, and the notice of a late refusal was not read. The log says again why a stream is not sent once more.

caller_that_leaves_during_handover and refusal_with_another_successor failed before and pass.

--- a/sequoiacrank-edge/src/exchange/handover.rs
+++ b/sequoiacrank-edge/src/exchange/handover.rs
@@ -135,16 +135,27 @@
         call: in_flight::Call,
         answer: Option<Result<http::Response<body::Incoming>, client::Error>>,
     ) {
-        self.maybe_ran.set(true);
-        match answer {
-            None => self.end_silent(call),
-            Some(Ok(answer)) => {
-                let decoded =
-                    call::Answer::decode(answer.status(), answer.headers(), &self.head.attempt);
-                call.end(if decoded.refused { fleet::End::Full } else { fleet::End::Bad });
+        let answer = match answer {
+            Some(Ok(answer)) => answer,
+            None => {
+                self.maybe_ran.set(true);
+                return self.end_silent(call);
             }
-            Some(Err(err)) => drop(self.record_failure(call, &err)),
-        }
+            Some(Err(err)) => {
+                self.maybe_ran.set(self.maybe_ran.get() || !err.is_unsent());
+                self.record_failure(call, &err);
+                return;
+            }
+        };
+        let decoded = call::Answer::decode(answer.status(), answer.headers(), &self.head.attempt);
+        let refused = decoded.refused && decoded.matches_request;
+        self.maybe_ran.set(self.maybe_ran.get() || !refused);
+        call.apply_notice(&decoded.notice, false);
+        call.end(match refused {
+            true if decoded.misdirected => fleet::End::Replaced,
+            true => fleet::End::Full,
+            false => fleet::End::Bad,
+        });
     }
 
     /// Ends the call to a silent endpoint.
--- a/sequoiacrank-edge/src/stream.rs
+++ b/sequoiacrank-edge/src/stream.rs
@@ -151,11 +151,7 @@
                 exchange.record_answered(status, first_byte);
                 return;
             }
-            End::CallerGone => {
-                let took = host::millis(exchange.host.clock.now().saturating_sub(exchange.began));
-                log::info!(target: "request", id, took, code = code::Code::Cancelled.number(); "caller gone");
-                return;
-            }
+            End::CallerGone => return log_caller_gone(&exchange),
             End::Moved(next) => {
                 events.discard_partial();
                 log_resumed(&exchange, &next, events.last_id());
@@ -171,7 +167,12 @@
                 // Cancels the work at this endpoint before another one continues the stream.
                 drop(upstream.connection);
                 events.discard_partial();
-                match resume(&exchange, events.last_id(), send).await {
+                let resumed = tokio::select! {
+                    biased;
+                    () = sender.closed() => return log_caller_gone(&exchange),
+                    resumed = resume(&exchange, events.last_id(), send) => resumed,
+                };
+                match resumed {
                     Some(next) => upstream = next,
                     None => {
                         exchange.host.metrics.unanswered.with_label_values(&["truncated"]).inc();
@@ -186,6 +187,12 @@
     }
 }
 
+fn log_caller_gone(exchange: &exchange::Exchange) {
+    let id = exchange.head.attempt.as_str();
+    let took = host::millis(exchange.host.clock.now().saturating_sub(exchange.began));
+    log::info!(target: "request", id, took, code = code::Code::Cancelled.number(); "caller gone");
+}
+
 fn log_resumed(exchange: &exchange::Exchange, upstream: &exchange::Upstream, last: Option<u64>) {
     let status = upstream.head.status.as_u16();
     let id = exchange.head.attempt.as_str();
@@ -205,7 +212,12 @@
             Some(send) => send,
             None => {
                 let granted = permit.take().filter(|_| exchange.may_repeat());
-                let granted = granted.or_else(|| exchange.retry_permit("stream broken"))?;
+                let Some(granted) = granted.or_else(|| exchange.retry_permit("stream broken"))
+                else {
+                    let id = exchange.head.attempt.as_str();
+                    log::info!(target: "request", id, last, sends = exchange.send_count(); "no repeat granted");
+                    return None;
+                };
                 exchange.hand_over(Some(last.unwrap_or_default()), granted).into_send()
             }
         };
@@ -235,6 +247,7 @@
     let mut last_event = exchange.host.clock.now();
     // The endpoint keeps the stream until another one has begun to continue it.
     let mut handover = None;
+    let mut permit = None;
     loop {
         let wait_start = exchange.host.clock.now();
         let idle = wait_start.saturating_sub(last_event);
@@ -247,8 +260,8 @@
                 return End::Broken(fleet::End::Silent, NO_EVENT, None);
             }
             let last = Some(events.last_id().unwrap_or_default());
-            let permit = exchange.switch_permit("stream stalled");
-            handover = permit.map(|permit| exchange.hand_over(last, permit));
+            let granted = permit.take().or_else(|| exchange.switch_permit("stream stalled"));
+            handover = granted.map(|granted| exchange.hand_over(last, granted));
             last_event = wait_start;
             continue;
         }
@@ -261,7 +274,7 @@
                     return End::Moved(next);
                 }
                 (handover::Step::Ended(result), _) => {
-                    exchange.record_not_taken(result);
+                    permit = exchange.record_not_taken(result);
                     last_event = exchange.host.clock.now();
                     continue;
                 }
@@ -312,7 +325,8 @@
             }
         }
         if events.is_too_long() {
-            return End::Broken(fleet::End::Bad, "event too long", None);
+            let send = handover.map(handover::Handover::into_send);
+            return End::Broken(fleet::End::Bad, "event too long", send);
         }
     }
 }
