A stream goes back to the endpoint that it left if the other one fails

A silent endpoint is left 250 ms after the other one has got the stream, as two may not work on it longer. If the other one then refused, or broke off behind its head, the caller's answer ended early although the first endpoint was sound.

The stream goes back to the first endpoint, once and behind the caller's last event, if it takes requests and the budget grants the repeat. No further endpoint gets the request.

--- a/sequoiacrank-edge/src/exchange/admission.rs
+++ b/sequoiacrank-edge/src/exchange/admission.rs
@@ -109,6 +109,7 @@
         began,
         results: cell::RefCell::new(None),
         tried: cell::RefCell::default(),
+        left: cell::RefCell::default(),
         reserved: cell::RefCell::default(),
         sends: watch::Sender::new(0),
         maybe_ran: cell::Cell::new(false),
--- a/sequoiacrank-edge/src/exchange/handover.rs
+++ b/sequoiacrank-edge/src/exchange/handover.rs
@@ -18,6 +18,7 @@
 use crate::exchange::repeat;
 use crate::host;
 use crate::in_flight;
+use crate::notices;
 
 /// Time for which two endpoints may work on the same stream. An endpoint that is full refuses well
 /// within it.
@@ -105,6 +106,36 @@
         }
     }
 
+    /// Remembers that the request left an endpoint because it was silent.
+    pub fn record_left(&self, endpoint: &str) {
+        *self.left.borrow_mut() = Some(endpoint.to_owned());
+    }
+
+    /// Begins to send the request back to the endpoint that it left because it was silent, once.
+    /// That endpoint does not count as one more attempt. `None` if it takes no requests, or the
+    /// budget does not grant the repeat.
+    pub fn send_back(&self, resume: Option<u64>) -> Option<Send<'_>> {
+        let endpoint = self.left.borrow_mut().take()?;
+        let address = {
+            let (now, facts) = (self.host.clock.now(), self.host.facts.borrow());
+            let entry = facts.fleet.usable().find(|it| it.id == endpoint)?;
+            facts.fleet.notices.accepts(now, entry.instance()).then_some(entry.address)?
+        };
+        if !self.route.is_repeatable() || self.time_left() <= exchange::MIN_TIME_LEFT {
+            return None;
+        }
+        let permit = self.request_permit("back to a silent endpoint")?;
+        Some(Box::pin(async move {
+            if self.results.borrow().is_none() && self.run_stages().await.is_err() {
+                return Err(exchange::SendError::Unsent(permit));
+            }
+            if !notices::acquire(&self.host, &endpoint, &self.head.attempt, self.rank).await {
+                return Err(exchange::SendError::Unsent(permit));
+            }
+            self.send(&endpoint, address, resume, permit).await.map(Box::new)
+        }))
+    }
+
     /// Records a handover that ended without an answer for the caller. Returns its permit if
     /// nothing was sent.
     pub fn record_not_taken(
@@ -162,6 +193,7 @@
     pub fn end_silent(&self, call: in_flight::Call) {
         let (id, took) = (self.head.attempt.as_str(), host::millis(call.elapsed()));
         log::info!(target: "request", id, endpoint = call.endpoint.as_str(), took; "taken over");
+        self.record_left(&call.endpoint);
         call.end(fleet::End::Silent);
     }
 }
--- a/sequoiacrank-edge/src/exchange/mod.rs
+++ b/sequoiacrank-edge/src/exchange/mod.rs
@@ -77,6 +77,8 @@
     session: Option<u64>,
     pub(crate) results: cell::RefCell<Option<stages::Results>>,
     tried: cell::RefCell<Vec<id::EndpointId>>,
+    /// Endpoint that the request left because it was silent.
+    left: cell::RefCell<Option<id::EndpointId>>,
     /// Endpoint that was acquired before the stage work began, and when.
     reserved: cell::RefCell<Option<(choice::Target, id::Time)>>,
     /// Number of sends so far.
--- a/sequoiacrank-edge/src/stream.rs
+++ b/sequoiacrank-edge/src/stream.rs
@@ -163,6 +163,9 @@
                 if end == fleet::End::Broken {
                     exchange.record_broken(&endpoint);
                 }
+                if end == fleet::End::Silent {
+                    exchange.record_left(&endpoint);
+                }
                 upstream.call.end(end);
                 // Cancels the work at this endpoint before another one continues the stream.
                 drop(upstream.connection);
@@ -211,14 +214,19 @@
         let next = match send.take() {
             Some(send) => send,
             None => {
+                let last = Some(last.unwrap_or_default());
                 let granted = permit.take().filter(|_| exchange.may_repeat());
-                let Some(granted) = granted.or_else(|| exchange.retry_permit("stream broken"))
-                else {
+                let granted = granted.or_else(|| exchange.retry_permit("stream broken"));
+                let next = match granted {
+                    Some(granted) => Some(exchange.hand_over(last, granted).into_send()),
+                    None => exchange.send_back(last),
+                };
+                let Some(next) = next else {
                     let id = exchange.head.attempt.as_str();
                     log::info!(target: "request", id, last, sends = exchange.send_count(); "no repeat granted");
                     return None;
                 };
-                exchange.hand_over(Some(last.unwrap_or_default()), granted).into_send()
+                next
             }
         };
         match next.await {
