A refusal that may belong to an earlier request does not count as this one's

Callers saw: a request that was running at an endpoint was answered with 503 "not run", or was sent to a second endpoint and ran twice (REFUSED, TWICE). Cause: the head of an answer counted as a refusal of the request whenever it stated that a request did not run, also if it named another attempt. One that named none counted on connections that had carried other requests. Change: a refusal that names another attempt is never this request's. One that names none is so only as the first answer on a connection; on a kept connection the request may have run: the caller gets 502, the endpoint counts as full, and the connection is closed. An answer that names another attempt changes nothing that is known of the endpoint (leaving, limit, pause), and its connection is not kept. Of one that names none on a kept connection only leaving and pause count, which ask for fewer requests; those answers no longer set or lift a limit. The same holds for the answers to calls that free stage results. Requests that may run only once, and stage calls, used a new connection each before; they were exposed only to refusals that name another attempt.

--- a/sequoiacrank-edge/src/batcher.rs
+++ b/sequoiacrank-edge/src/batcher.rs
@@ -395,6 +395,7 @@
     sent: id::Time,
     answer: &client::Answer,
 ) {
-    let answered = notice::Answer { sent, accepted: answer.status == http::StatusCode::OK };
+    let accepted = answer.certain && answer.status == http::StatusCode::OK;
+    let answered = notice::Answer { sent, accepted };
     notices::apply(host, instance, &answer.notice, answered);
 }
--- a/sequoiacrank-edge/src/client.rs
+++ b/sequoiacrank-edge/src/client.rs
@@ -11,6 +11,7 @@
 use hyper::client::conn::http1;
 use hyper_util::rt;
 use quick_error::quick_error;
+use sequoiacrank_adapter::call;
 use sequoiacrank_kernel::edge::notice;
 use sequoiacrank_kernel::id;
 use sequoiacrank_kernel::map;
@@ -99,6 +100,8 @@
     _task: AbortOnDrop,
     /// Whether a request has been sent on it.
     used: bool,
+    /// Whether another request was sent on it before the last one.
+    kept: bool,
 }
 
 impl Connection {
@@ -112,7 +115,7 @@
             // `send` returns the error.
             let _ = connection.await;
         });
-        Ok(Connection { address, sender, _task: AbortOnDrop(task), used: false })
+        Ok(Connection { address, sender, _task: AbortOnDrop(task), used: false, kept: false })
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -124,7 +127,7 @@
         &mut self,
         mut request: http::Request<Bytes>,
     ) -> Result<http::Response<body::Incoming>, Error> {
-        self.used = true;
+        self.kept = std::mem::replace(&mut self.used, true);
         if let http::header::Entry::Vacant(host) = request.headers_mut().entry(http::header::HOST) {
             let address = http::HeaderValue::from_str(&self.address.to_string());
             host.insert(address.expect("an address is plain text"));
@@ -143,6 +146,15 @@
     pub fn is_used(&self) -> bool {
         self.used
     }
+
+    /// Decodes the head of the answer to the request `attempt`, the last one sent on it.
+    pub fn decode(&self, head: &http::response::Parts, attempt: &str) -> call::Answer {
+        self.mark_kept(call::Answer::decode(head.status, &head.headers, attempt))
+    }
+
+    fn mark_kept(&self, answer: call::Answer) -> call::Answer {
+        if self.kept { answer.on_kept_connection() } else { answer }
+    }
 }
 
 struct Idle {
@@ -166,6 +178,8 @@
     pub body: Bytes,
     /// What the endpoint reports about itself in its headers.
     pub notice: notice::Notice,
+    /// Whether it is certainly the answer to this call, and not to an earlier one.
+    pub certain: bool,
 }
 
 impl Pool {
@@ -290,11 +304,12 @@
     ) -> Result<Answer, Error> {
         let (head, body) = answer.into_parts();
         let body = read_body(body).await?;
-        let decoded = sequoiacrank_adapter::call::Answer::decode(head.status, &head.headers, "");
+        let decoded = connection.mark_kept(call::Answer::decode_call(head.status, &head.headers));
         if let Some(keep_alive) = decoded.keep_alive {
             self.put(connection, keep_alive);
         }
-        Ok(Answer { status: head.status, body, notice: decoded.notice })
+        let call::Answer { notice, matches_request: certain, .. } = decoded;
+        Ok(Answer { status: head.status, body, notice, certain })
     }
 }
 
--- a/sequoiacrank-edge/src/exchange/send.rs
+++ b/sequoiacrank-edge/src/exchange/send.rs
@@ -185,7 +185,7 @@
         };
         call.record_first_byte();
         let (head, body) = answer.into_parts();
-        let decoded = call::Answer::decode(head.status, &head.headers, &self.head.attempt);
+        let decoded = connection.decode(&head, &self.head.attempt);
         let id = self.head.attempt.as_str();
         let status = head.status.as_u16();
         let took = host::millis(host.clock.now().saturating_sub(self.began));
@@ -200,9 +200,9 @@
                 call.end(if misdirected { fleet::End::Replaced } else { fleet::End::Full });
                 Err(exchange::SendError::Refused(head.status))
             }
-            call::Answer { matches_request: false, .. } => {
-                log::warn!(target: "request", id, endpoint, status, took; "answer to another request");
-                call.end(fleet::End::Bad);
+            call::Answer { matches_request: false, unclear, .. } => {
+                log::warn!(target: "request", id, endpoint, status, took, unclear; "answer to another request");
+                call.end(if unclear { fleet::End::Full } else { fleet::End::Bad });
                 Err(exchange::SendError::Failed(code::Code::BadAnswer))
             }
             decoded => Ok(exchange::Upstream { connection, head, body, call, decoded }),
