An endpoint's 503 without a statement does not tell the caller that its request did not run

Callers saw: an endpoint's 408, 429 or 503 that lacks the header by which it states that it did not run the request was passed on; these statuses tell a caller that it did not run (REFUSED if it may run only once). Cause: only answers with the statement counted as refusals; all others were the answer to the caller, whatever their status. Change: such an answer proves nothing. A request that may be repeated goes to another endpoint, otherwise the caller gets 502 without the endpoint's seal. The check of the head of an answer has a module of its own.

--- a/sequoiacrank-edge/src/exchange/mod.rs
+++ b/sequoiacrank-edge/src/exchange/mod.rs
@@ -1,6 +1,7 @@
 //! The handling of one request of a caller: admission, stage work, sends to endpoints, answer.
 
 mod admission;
+mod answer;
 mod choice;
 mod error;
 pub mod handover;
--- a/sequoiacrank-edge/src/exchange/send.rs
+++ b/sequoiacrank-edge/src/exchange/send.rs
@@ -183,30 +183,7 @@
             Ok(answer) => answer,
             Err(err) => return Err(self.send_error(call, &err, permit)),
         };
-        call.record_first_byte();
-        let (head, body) = answer.into_parts();
-        let decoded = connection.decode(&head, &self.head.attempt);
-        let id = self.head.attempt.as_str();
-        let status = head.status.as_u16();
-        let took = host::millis(host.clock.now().saturating_sub(self.began));
-        call.apply_notice(&decoded.notice, decoded.matches_request && !decoded.refused);
-        match decoded {
-            call::Answer { refused: true, misdirected, .. } => {
-                log::warn!(target: "request", id, endpoint, status, took; "endpoint refused");
-                if misdirected {
-                    // Another endpoint answers at its address, so it has ended.
-                    suspect::record_down(host, endpoint);
-                }
-                call.end(if misdirected { fleet::End::Replaced } else { fleet::End::Full });
-                Err(exchange::SendError::Refused(head.status))
-            }
-            call::Answer { matches_request: false, unclear, .. } => {
-                log::warn!(target: "request", id, endpoint, status, took, unclear; "answer to another request");
-                call.end(if unclear { fleet::End::Full } else { fleet::End::Bad });
-                Err(exchange::SendError::Failed(code::Code::BadAnswer))
-            }
-            decoded => Ok(exchange::Upstream { connection, head, body, call, decoded }),
-        }
+        self.check_answer(call, connection, answer)
     }
 
     /// Ends a call before the request is sent, as the choice of its endpoint is no longer valid.
