A resumed stream takes only the rest of it, not an error or other events, from its next endpoint

Callers saw: a stream broke, and the next endpoint answered with status 200 but with the text of an error, with events from another place, or with nothing. Answers with other statuses than 2xx, those to another attempt and bytes that are not HTTP ended it early before, too. Cause: each answer with a 2xx status counted as the rest of the stream. Of its events only those that the caller had were skipped. Change: the head of the next answer must have the status, media type, content encoding and seal of the first one. Its first event must have the next id: behind the last one, and the successor if two or more ids before had no gap (streams may number tokens). An answer without such an event ends the stream early, also if it is empty. Comments before that event are dropped. The ids are a decision of the kernel (edge::sequence). An endpoint that starts again at 1 is not taken for a continuation either; before, its first events were skipped, which joined two runs. If an endpoint breaks between its last event and the end, an empty rest ends the answer early although nothing is missing: an empty answer does not show it.

--- a/sequoiacrank-edge/src/exchange/admission.rs
+++ b/sequoiacrank-edge/src/exchange/admission.rs
@@ -111,6 +111,7 @@
         tried: cell::RefCell::default(),
         reserved: cell::RefCell::default(),
         sends: watch::Sender::new(0),
+        form: cell::OnceCell::new(),
         maybe_ran: cell::Cell::new(false),
         _active: active,
     })
--- a/sequoiacrank-edge/src/exchange/answer.rs
+++ b/sequoiacrank-edge/src/exchange/answer.rs
@@ -52,6 +52,11 @@
                 call.end(fleet::End::Bad);
                 Err(exchange::SendError::Failed(code::Code::BadAnswer))
             }
+            _ if self.form.get().is_some_and(|form| *form != call::Form::decode(&head)) => {
+                log::warn!(target: "request", id, endpoint, status, took; "answer does not continue the stream");
+                call.end(fleet::End::Bad);
+                Err(exchange::SendError::Failed(code::Code::BadAnswer))
+            }
             decoded => Ok(exchange::Upstream { connection, head, body, call, decoded }),
         }
     }
--- a/sequoiacrank-edge/src/exchange/mod.rs
+++ b/sequoiacrank-edge/src/exchange/mod.rs
@@ -82,6 +82,8 @@
     reserved: cell::RefCell<Option<(choice::Target, id::Time)>>,
     /// Number of sends so far.
     sends: watch::Sender<u32>,
+    /// Form of the stream that the caller gets, once it has begun.
+    form: cell::OnceCell<call::Form>,
     /// Whether an endpoint may have run it.
     maybe_ran: cell::Cell<bool>,
     _active: stop::ActiveRequest,
@@ -337,6 +339,7 @@
         *answer.status_mut() = upstream.head.status;
         *answer.headers_mut() = ingress::end_to_end(&upstream.head.headers);
         if is_stream {
+            self.form.get_or_init(|| call::Form::decode(&upstream.head));
             self.record_request_time(&upstream);
             *answer.body_mut() = stream::start(self, upstream);
             return answer;
--- a/sequoiacrank-edge/src/stream.rs
+++ b/sequoiacrank-edge/src/stream.rs
@@ -9,6 +9,7 @@
 use http_body_util::BodyExt as _;
 use sequoiacrank_kernel::code;
 use sequoiacrank_kernel::edge::fleet;
+use sequoiacrank_kernel::edge::sequence;
 use tokio::sync::mpsc;
 use tokio::task;
 
@@ -38,8 +39,10 @@
     buffer: BytesMut,
     /// Length of the prefix of the buffer in which no event ends.
     searched: usize,
-    /// Id of the last event that was returned.
-    last_id: Option<u64>,
+    /// Ids of the events that were returned.
+    sequence: sequence::Sequence,
+    /// Whether an event did not continue the stream of an earlier endpoint.
+    misplaced: bool,
 }
 
 /// The bytes that end an event.
@@ -52,7 +55,8 @@
     }
 
     /// Returns the next complete event. Events that the caller already has, by their ids, are
-    /// skipped.
+    /// skipped, and so are comments before the first event of another endpoint. An event that does
+    /// not continue the stream is a fault and is not returned.
     pub fn next(&mut self) -> Option<Bytes> {
         loop {
             let unsearched = &self.buffer[self.searched..];
@@ -64,35 +68,50 @@
             };
             let event = self.buffer.split_to(self.searched + end + EVENT_END.len()).freeze();
             self.searched = 0;
-            match (event_id(&event), self.last_id) {
-                (Some(id), Some(last)) if id <= last => {}
-                (id, _) => {
-                    self.last_id = id.or(self.last_id);
-                    return Some(event);
+            if is_comment(&event) {
+                match self.sequence.is_resuming() {
+                    true => continue,
+                    false => return Some(event),
+                }
+            }
+            match self.sequence.place(event_id(&event)) {
+                sequence::Place::Next => return Some(event),
+                sequence::Place::Earlier => {}
+                sequence::Place::Elsewhere => {
+                    self.misplaced = true;
+                    return None;
                 }
             }
         }
     }
 
-    /// Whether the incomplete event in the buffer is longer than any event may be.
-    pub fn is_too_long(&self) -> bool {
-        self.buffer.len() > MAX_EVENT_BYTES
+    /// Why the received bytes can't be part of the stream, if they can't.
+    pub fn fault(&self) -> Option<&'static str> {
+        match self.misplaced {
+            true => Some("another event than the next"),
+            false => (self.buffer.len() > MAX_EVENT_BYTES).then_some("event too long"),
+        }
     }
 
-    /// Drops an incomplete event.
-    pub fn discard_partial(&mut self) {
-        self.searched = 0;
-        self.buffer.clear();
+    /// Why the stream is not complete after the end of an endpoint's answer, if it is not.
+    pub fn end_fault(&self) -> Option<&'static str> {
+        match self.sequence.is_resuming() {
+            true => Some("no event after the last one"),
+            false => (!self.buffer.is_empty()).then_some("ended inside an event"),
+        }
     }
 
-    /// Whether the buffer holds an incomplete event.
-    pub fn has_partial(&self) -> bool {
-        !self.buffer.is_empty()
+    /// Expects the next event from another endpoint. Drops an incomplete event.
+    pub fn switch_endpoint(&mut self) {
+        self.searched = 0;
+        self.buffer.clear();
+        self.misplaced = false;
+        self.sequence.resume();
     }
 
     /// Id of the last event that was returned.
     pub fn last_id(&self) -> Option<u64> {
-        self.last_id
+        self.sequence.last()
     }
 }
 
@@ -136,7 +155,8 @@
 ) {
     let status = upstream.head.status;
     let first_byte = exchange.host.clock.now().saturating_sub(exchange.began);
-    let mut events = Events { last_id: exchange.head.resume, ..Events::default() };
+    let sequence = sequence::Sequence::after(exchange.head.resume);
+    let mut events = Events { sequence, ..Events::default() };
     let id = exchange.head.attempt.as_str();
     loop {
         let end = forward_events(&exchange, &mut upstream, &mut events, &sender).await;
@@ -157,7 +177,7 @@
                 return;
             }
             End::Moved(next) => {
-                events.discard_partial();
+                events.switch_endpoint();
                 log_resumed(&exchange, &next, events.last_id());
                 exchange.end_silent(std::mem::replace(&mut upstream, *next).call);
             }
@@ -170,7 +190,7 @@
                 upstream.call.end(end);
                 // Cancels the work at this endpoint before another one continues the stream.
                 drop(upstream.connection);
-                events.discard_partial();
+                events.switch_endpoint();
                 match resume(&exchange, events.last_id(), send).await {
                     Some(next) => upstream = next,
                     None => {
@@ -284,17 +304,20 @@
                 return End::Broken(fleet::End::Broken, "connection lost", send);
             }
             Some(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
-            Some(None) if events.has_partial() => {
+            Some(None) => {
+                let fault = match events.end_fault() {
+                    None if !upstream.decoded.framed => {
+                        let has_crashed = exchange.has_crashed(&upstream.call.endpoint).await;
+                        has_crashed.then_some("ended in a crash")
+                    }
+                    fault => fault,
+                };
                 let send = handover.map(handover::Handover::into_send);
-                return End::Broken(fleet::End::Broken, "ended inside an event", send);
-            }
-            Some(None) if !upstream.decoded.framed => {
-                return match exchange.has_crashed(&upstream.call.endpoint).await {
-                    true => End::Broken(fleet::End::Broken, "ended in a crash", None),
-                    false => End::Complete,
+                return match fault {
+                    Some(fault) => End::Broken(fleet::End::Broken, fault, send),
+                    None => End::Complete,
                 };
             }
-            Some(None) => return End::Complete,
         };
         events.push(&bytes);
         while let Some(event) = events.next() {
@@ -311,8 +334,8 @@
                 last_event = exchange.host.clock.now();
             }
         }
-        if events.is_too_long() {
-            return End::Broken(fleet::End::Bad, "event too long", None);
+        if let Some(fault) = events.fault() {
+            return End::Broken(fleet::End::Bad, fault, None);
         }
     }
 }
--- a/sequoiacrank-kernel/src/edge.rs
+++ b/sequoiacrank-kernel/src/edge.rs
@@ -11,5 +11,6 @@
 pub mod notice;
 pub mod pace;
 pub mod records;
+pub mod sequence;
 pub mod session;
 pub mod stage;
--- a/sequoiacrank-kernel/tests/edge/main.rs
+++ b/sequoiacrank-kernel/tests/edge/main.rs
@@ -8,6 +8,7 @@
 mod notices;
 mod overlay;
 mod parts;
+mod sequence;
 mod site;
 mod stage_load;
 mod units;
