The event before an early end reaches the caller; a blank line behind the last event is no break

Callers saw: an endpoint's stream ended inside an event, and the whole event before it was lost as well. A stream with a blank line behind its last event was broken off. A stream without a length that ended before any event looked complete, if the endpoint accepted connections. Cause: a failure of a body drops what the server has not written yet, and the end inside an event is known in the same poll as the events before it. Every byte behind the last event counted as the beginning of another one. Change: the body of an answer fails only after the server has written the chunks before the failure. Blank lines behind the last event are forwarded. A stream without a length or chunks that ends before any event is broken off.

--- a/sequoiacrank-edge/src/body.rs
+++ b/sequoiacrank-edge/src/body.rs
@@ -31,11 +31,16 @@
 pub enum Body {
     /// The complete body; `None` once it is sent, or if it is empty.
     Full(Option<Bytes>),
-    /// A stream of chunks.
-    Stream(mpsc::Receiver<Result<Bytes, StreamError>>),
+    /// A stream of chunks, and the error with which it fails once the chunks are written.
+    Stream(mpsc::Receiver<Result<Bytes, StreamError>>, Option<StreamError>),
 }
 
 impl Body {
+    /// A body whose chunks are received from `chunks`.
+    pub fn stream(chunks: mpsc::Receiver<Result<Bytes, StreamError>>) -> Self {
+        Body::Stream(chunks, None)
+    }
+
     /// A body of which all bytes are available.
     pub fn full(bytes: Bytes) -> Self {
         Body::Full(Some(bytes).filter(|bytes| !bytes.is_empty()))
@@ -52,9 +57,19 @@
     ) -> task::Poll<Option<Result<Frame<Bytes>, StreamError>>> {
         match &mut *self {
             Body::Full(bytes) => task::Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it)))),
-            Body::Stream(chunks) => {
-                chunks.poll_recv(cx).map(|chunk| chunk.map(|it| it.map(Frame::data)))
-            }
+            Body::Stream(chunks, failure) => match failure.take() {
+                Some(err) => task::Poll::Ready(Some(Err(err))),
+                None => match chunks.poll_recv(cx) {
+                    task::Poll::Ready(Some(Err(err))) => {
+                        // The server writes the chunks before it polls again; at an error it drops
+                        // those that it has not written.
+                        *failure = Some(err);
+                        cx.waker().wake_by_ref();
+                        task::Poll::Pending
+                    }
+                    chunk => chunk.map(|chunk| chunk.map(|it| it.map(Frame::data))),
+                },
+            },
         }
     }
 
@@ -67,7 +82,7 @@
             Body::Full(bytes) => {
                 http_body::SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
             }
-            Body::Stream(_) => http_body::SizeHint::default(),
+            Body::Stream(..) => http_body::SizeHint::default(),
         }
     }
 }
--- a/sequoiacrank-edge/src/stream.rs
+++ b/sequoiacrank-edge/src/stream.rs
@@ -43,6 +43,8 @@
     sequence: sequence::Sequence,
     /// Whether an event did not continue the stream of an earlier endpoint.
     misplaced: bool,
+    /// Whether an event was returned.
+    has_begun: bool,
 }
 
 /// The bytes that end an event.
@@ -75,7 +77,10 @@
                 }
             }
             match self.sequence.place(event_id(&event)) {
-                sequence::Place::Next => return Some(event),
+                sequence::Place::Next => {
+                    self.has_begun = true;
+                    return Some(event);
+                }
                 sequence::Place::Earlier => {}
                 sequence::Place::Elsewhere => {
                     self.misplaced = true;
@@ -93,11 +98,14 @@
         }
     }
 
-    /// Why the stream is not complete after the end of an endpoint's answer, if it is not.
-    pub fn end_fault(&self) -> Option<&'static str> {
-        match self.sequence.is_resuming() {
-            true => Some("no event after the last one"),
-            false => (!self.buffer.is_empty()).then_some("ended inside an event"),
+    /// Why the stream is not complete after the end of an endpoint's answer, if it is not. An answer
+    /// that is not framed ends with its connection, also if the endpoint crashes.
+    pub fn end_fault(&self, is_framed: bool) -> Option<&'static str> {
+        match () {
+            () if self.sequence.is_resuming() => Some("no event after the last one"),
+            () if !is_blank(&self.buffer) => Some("ended inside an event"),
+            () if !is_framed && !self.has_begun => Some("ended before the first event"),
+            () => None,
         }
     }
 
@@ -109,12 +117,23 @@
         self.sequence.resume();
     }
 
+    /// Returns the rest of the buffer after the end of the stream.
+    pub fn take_rest(&mut self) -> Bytes {
+        self.searched = 0;
+        self.buffer.split().freeze()
+    }
+
     /// Id of the last event that was returned.
     pub fn last_id(&self) -> Option<u64> {
         self.sequence.last()
     }
 }
 
+/// Whether bytes hold nothing but ends of lines.
+fn is_blank(bytes: &[u8]) -> bool {
+    bytes.iter().all(|byte| b"\r\n".contains(byte))
+}
+
 /// Whether an event holds only comments, which keep the connection alive but show no progress of
 /// the stream.
 fn is_comment(event: &[u8]) -> bool {
@@ -144,7 +163,7 @@
 pub fn start(exchange: rc::Rc<exchange::Exchange>, upstream: exchange::Upstream) -> Body {
     let (sender, receiver) = mpsc::channel(QUEUE_EVENTS);
     task::spawn_local(forward(exchange, upstream, sender));
-    Body::Stream(receiver)
+    Body::stream(receiver)
 }
 
 /// Forwards a stream to its end, from as many endpoints as it takes.
@@ -305,18 +324,20 @@
             }
             Some(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             Some(None) => {
-                let fault = match events.end_fault() {
+                let fault = match events.end_fault(upstream.decoded.framed) {
                     None if !upstream.decoded.framed => {
                         let has_crashed = exchange.has_crashed(&upstream.call.endpoint).await;
                         has_crashed.then_some("ended in a crash")
                     }
                     fault => fault,
                 };
-                let send = handover.map(handover::Handover::into_send);
-                return match fault {
-                    Some(fault) => End::Broken(fleet::End::Broken, fault, send),
-                    None => End::Complete,
-                };
+                if let Some(fault) = fault {
+                    let send = handover.map(handover::Handover::into_send);
+                    return End::Broken(fleet::End::Broken, fault, send);
+                }
+                let rest = events.take_rest();
+                let is_complete = rest.is_empty() || sender.send(Ok(rest)).await.is_ok();
+                return if is_complete { End::Complete } else { End::CallerGone };
             }
         };
         events.push(&bytes);
