--- a/sequoiacrank-edge/src/exchange/admission.rs
+++ b/sequoiacrank-edge/src/exchange/admission.rs
@@ -112,6 +112,7 @@
         left: cell::RefCell::default(),
         reserved: cell::RefCell::default(),
         sends: watch::Sender::new(0),
+        form: cell::OnceCell::new(),
         maybe_ran: cell::Cell::new(false),
         _active: active,
     })
