--- a/sequoiacrank-edge/src/batcher.rs
+++ b/sequoiacrank-edge/src/batcher.rs
@@ -396,6 +396,5 @@
     answer: &client::Answer,
 ) {
     let accepted = answer.certain && answer.status == http::StatusCode::OK;
-    let answered = notice::Answer { sent, accepted };
-    notices::apply(host, instance, &answer.notice, answered);
+    notices::apply(host, instance, &answer.notice, notice::Answer { sent, accepted });
 }
--- a/sequoiacrank-edge/src/exchange/handover.rs
+++ b/sequoiacrank-edge/src/exchange/handover.rs
@@ -180,7 +180,8 @@
         };
         let decoded = call::Answer::decode(answer.status(), answer.headers(), &self.head.attempt);
         let refused = decoded.refused && decoded.matches_request;
-        self.maybe_ran.set(self.maybe_ran.get() || !refused);
+        // On a connection that carried other requests, the refusal may belong to an earlier one.
+        self.maybe_ran.set(true);
         call.apply_notice(&decoded.notice, false);
         call.end(match refused {
             true if decoded.misdirected => fleet::End::Replaced,
--- a/sequoiacrank-edge/src/front.rs
+++ b/sequoiacrank-edge/src/front.rs
@@ -39,6 +39,13 @@
 /// Pause after a connection could not be accepted.
 const ACCEPT_BACKOFF: time::Duration = time::Duration::from_millis(50);
 
+/// Makes the limits of the newest configuration known to open connections.
+pub fn update_limits(host: &host::Host) {
+    let limits = host.facts.borrow().catalog.as_ref().map(|catalog| catalog.limits);
+    let Some(limits) = limits else { return };
+    host.limits.send_if_modified(|old| std::mem::replace(old, limits) != limits);
+}
+
 async fn accept(listener: &TcpListener) -> TcpStream {
     loop {
         match listener.accept().await {
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -170,7 +170,7 @@
         let end = self.facts.borrow().records(topic).end();
         let changed = self.facts.borrow_mut().apply_records(topic, page, complete, now, at);
         if changed {
-            self.update_limits();
+            front::update_limits(self);
             self.batcher.update(self);
         }
         let is_operators = topic == topics::Topic::Operators;
@@ -181,13 +181,6 @@
         }
     }
 
-    /// Makes the limits of the newest configuration known to open connections.
-    fn update_limits(&self) {
-        let limits = self.facts.borrow().catalog.as_ref().map(|catalog| catalog.limits);
-        let Some(limits) = limits else { return };
-        self.limits.send_if_modified(|old| std::mem::replace(old, limits) != limits);
-    }
-
     /// The part of a heartbeat that is the same for all neighbours.
     pub fn heartbeat(&self) -> wire::Pulse {
         let facts = self.facts.borrow();
--- a/sequoiacrank-edge/src/peer/mod.rs
+++ b/sequoiacrank-edge/src/peer/mod.rs
@@ -122,12 +122,16 @@
     /// closes idle connections.
     pub fn send_heartbeats(&self, host: &rc::Rc<host::Host>) {
         let now = host.clock.now();
-        let (crashes, parts) = {
+        let state = {
             let facts = host.facts.borrow();
-            (facts.crashes.report(now), facts.crashes.parts.report(now))
+            statement::State {
+                leaving: host.stop.is_leaving(),
+                without_store: host.without_store.get(),
+                crashes: facts.crashes.report(now),
+                parts: facts.crashes.parts.report(now),
+            }
         };
-        let (leaving, without_store) = (host.stop.is_leaving(), host.without_store.get());
-        self.members.borrow_mut().set_state(leaving, without_store, crashes, parts);
+        self.members.borrow_mut().set_state(state);
         let round = self.members.borrow_mut().next_round(now);
         for address in round.forgotten {
             log::info!(target: "hosts", other = address.to_string().as_str(); "forgotten");
--- a/sequoiacrank-kernel/src/edge/members.rs
+++ b/sequoiacrank-kernel/src/edge/members.rs
@@ -24,8 +24,6 @@
 use std::net;
 use std::time;
 
-use crate::edge::crash;
-use crate::edge::crash::parts;
 use crate::id;
 use crate::map;
 
@@ -277,20 +275,9 @@
         Some(self.heartbeat_to(now, from, statements))
     }
 
-    /// Sets whether this host is leaving, whether it does not reach the store, and what it reports
-    /// of endpoints that crashed.
-    pub fn set_state(
-        &mut self,
-        leaving: bool,
-        without_store: bool,
-        crashes: Vec<crash::Report>,
-        parts: Vec<parts::Report>,
-    ) {
-        let own = &mut self.own;
-        let old = (own.leaving, own.without_store, &own.crashes, &own.parts);
-        if old != (leaving, without_store, &crashes, &parts) {
-            (own.leaving, own.without_store) = (leaving, without_store);
-            (own.crashes, own.parts) = (crashes, parts);
+    /// Sets the state that this host publishes.
+    pub fn set_state(&mut self, state: statement::State) {
+        if self.own.set_state(state) {
             self.gossip.mark_changed();
         }
     }
--- a/sequoiacrank-kernel/src/edge/members/statement.rs
+++ b/sequoiacrank-kernel/src/edge/members/statement.rs
@@ -37,7 +37,36 @@
     pub parts: Vec<parts::Report>,
 }
 
+/// The state of a host that it publishes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct State {
+    /// Whether the host is leaving.
+    pub leaving: bool,
+    /// Whether the host does not reach the store.
+    pub without_store: bool,
+    /// Endpoints that crashed on its calls, by request.
+    pub crashes: Vec<crash::Report>,
+    /// Endpoints that crashed on its calls, by part of a prompt, and parts that it served.
+    pub parts: Vec<parts::Report>,
+}
+
 impl Statement {
+    /// Replaces the state. Returns whether it has changed.
+    pub fn set_state(&mut self, state: State) -> bool {
+        let State { leaving, without_store, crashes, parts } = state;
+        let next = Statement {
+            leaving,
+            without_store,
+            crashes,
+            parts,
+            hears: self.hears.clone(),
+            ..*self
+        };
+        let has_changed = next != *self;
+        *self = next;
+        has_changed
+    }
+
     /// Creates the first statement of a process.
     pub fn first(host: net::SocketAddr, process: id::Incarnation, epoch: u64, cpu: u32) -> Self {
         Statement {
