The end of a leaving endpoint's answer without a length is not a crash

Callers lost the end of a whole answer: an endpoint that leaves may end behind its last answer, and one whose entry is gone counted as crashed in any case.

unframed_stream_of_leaving_endpoint failed before (its end was missing) and passes.

--- a/sequoiacrank-edge/src/exchange/suspect.rs
+++ b/sequoiacrank-edge/src/exchange/suspect.rs
@@ -86,13 +86,18 @@
         });
     }
 
-    /// Whether the endpoint of an answer that ended with its connection is down. A crash looks the
-    /// same as the end of such an answer.
+    /// Whether the endpoint of an answer that ended with its connection has crashed, which looks
+    /// the same as the end of such an answer. An endpoint that leaves may end behind its last
+    /// answer.
     pub async fn has_crashed(&self, endpoint: &str) -> bool {
-        let address = self.host.facts.borrow().fleet.get(endpoint).map(|it| it.address);
+        let address = {
+            let facts = self.host.facts.borrow();
+            let entry = facts.fleet.usable().find(|it| it.id == endpoint);
+            entry.map(|it| it.address)
+        };
         match address {
             Some(address) => is_down(address).await,
-            None => true,
+            None => false,
         }
     }
 
