--- a/review/2/case.py
+++ b/review/2/case.py
@@ -99,4 +99,4 @@
     return not late["first"] and not late["second"]
 
 
-world.play(HERE, case)
+world.play(os.path.join(HERE, "record.txt"), case)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -124,4 +124,4 @@
     return broken == 0
 
 
-world.play(HERE, case)
+world.play(os.path.join(HERE, "record.txt"), case)
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -232,10 +232,10 @@
 class World:
     """The processes of a case. All of them end with it."""
 
-    def __init__(self, folder):
-        self.folder, self.children, self.hosts = folder, [], []
+    def __init__(self, record):
+        self.children, self.hosts = [], []
         self.temp = tempfile.mkdtemp(prefix="review-")
-        self.record = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
+        self.record = open(record, "w", encoding="utf-8")
         self.began = time.monotonic()
         self.entries = {}
 
@@ -333,9 +333,9 @@
             "tenants": [{"name": "first", "apiKeys": ["first-key"], "priority": 1}]}
 
 
-def play(folder, case):
-    """Runs `case(world, trouble)`, which returns whether the rule held, and ends with the exit status."""
-    world, status = World(folder), 2
+def play(record, case):
+    """Writes `record`, runs `case(world, trouble)`, which returns whether the rule held, and ends with the exit status."""
+    world, status = World(record), 2
     trouble = os.environ.get("TROUBLE", "1") != "0"
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
@@ -346,6 +346,8 @@
         world.log(f"the case could not run: {reason}")
     except asyncio.TimeoutError:
         world.log("the case could not run in time")
+    except Exception as error:  # a fault of the case itself
+        world.log(f"the case could not run: {error!r}")
     finally:
         world.close()
     sys.exit(status)
