--- a/review/2/case.py
+++ b/review/2/case.py
@@ -18,12 +18,9 @@
 async def case(w, trouble):
     store = await world.Store().start()
     store.put("keyed.op", "config", world.configuration(3, ROUTES, SERVICES))
-    runs = os.path.join(w.temp, "runs.txt")
     for number, zone in enumerate("aabb"):
-        name, port = f"desk-{zone}{number}", world.free_ports(1)[0]
-        words = [sys.executable, os.path.join(HERE, "..", "lib", "replica.py"), name, str(port), "plain:20", runs]
-        w.spawn(words, log=name + ".log")
-        await asyncio.sleep(0.3)
+        name = f"desk-{zone}{number}"
+        _, port = await w.start_replica(name, "plain:20")
         w.register(store, name, service="desk", zone=zone, address=f"{world.LOOPBACK}:{port}")
     beats = asyncio.create_task(w.heartbeats(store))
     hosts = []
@@ -80,7 +77,7 @@
     beats.cancel()
 
     arrivals = []
-    with open(runs, encoding="utf-8") as lines:
+    with open(w.runs, encoding="utf-8") as lines:
         for line in lines.read().splitlines():
             at, name, what, attempt = line.split(" ")[:4]
             w.log(f"replica: {name} {what} {attempt} at {float(at) - w.began:.3f}")
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -19,7 +19,7 @@
      "pieces": {"slots": 1, "queue": 2, "batch": 34, "callMs": 150.0, "itemMs": 1.0, "headroomMb": 45.0,
                 "handleTtlS": 4.0}},
 ]
-LIMIT, DESKS = 7, 9
+LIMIT, DESKS = 6, 15
 FREEZE_S = float(os.environ.get("FREEZE_S", "1.0"))
 
 
@@ -37,15 +37,11 @@
 async def case(w, trouble):
     store = await world.Store().start()
     store.put("keyed.op", "config", world.configuration(3, ROUTES, SERVICES))
-    runs = os.path.join(w.temp, "runs.txt")
     replicas = [(f"desk-{n}", "desk", "plain:20", str(LIMIT)) for n in range(DESKS)]
     replicas += [(f"model-{n}", "model", "model:20", "") for n in range(2)]
     replicas += [(f"sheets-{n}", "sheets", "stage:150", "") for n in range(4)]
     for name, service, kind, limit in replicas:
-        port = world.free_ports(1)[0]
-        words = [sys.executable, os.path.join(HERE, "..", "lib", "replica.py"), name, str(port), kind, runs]
-        w.spawn(words, {"SERVER_LIMIT": limit}, name + ".log")
-        await asyncio.sleep(0.25)
+        _, port = await w.start_replica(name, kind, {"SERVER_LIMIT": limit})
         w.register(store, name, service=service, zone="a", address=f"{world.LOOPBACK}:{port}")
     beats = asyncio.create_task(w.heartbeats(store))
     hosts = []
@@ -84,8 +80,8 @@
     w.log(f"{former['name']} forms the calls; {one_host['name']} gets reports and lookups, {other['name']} lookups")
 
     senders = [asyncio.create_task(traffic("report", one_host, 0.03, 1000)),
-               asyncio.create_task(traffic("lots", one_host, 0.011, 100000)),
-               asyncio.create_task(traffic("lots", other, 0.011, 200000))]
+               asyncio.create_task(traffic("lots", one_host, 0.008, 100000)),
+               asyncio.create_task(traffic("lots", other, 0.008, 200000))]
     await asyncio.sleep(10)
     if trouble:
         former["child"].send_signal(signal.SIGSTOP)
@@ -101,7 +97,7 @@
     beats.cancel()
 
     arrivals = {}
-    with open(runs, encoding="utf-8") as lines:
+    with open(w.runs, encoding="utf-8") as lines:
         for line in lines.read().splitlines():
             at, name, what, attempt = line.split(" ")[:4]
             if what == "runs" and name.startswith("desk"):
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -16,14 +16,10 @@
     store = await world.Store().start()
     store.put("keyed.op", "config", world.configuration(3, ROUTES, SERVICES))
     replicas = {}
-    runs = os.path.join(w.temp, "runs.txt")
     for number, zone in enumerate("abab"):
-        name, port = f"engine-{number}", world.free_ports(1)[0]
+        name = f"engine-{number}"
         # The head comes at once, the first event once the prompt is read, 500 ms later.
-        words = [sys.executable, os.path.join(HERE, "..", "lib", "replica.py"), name, str(port),
-                 f"stream:{EVENTS}:100:{FIRST}:500", runs]
-        replicas[name] = w.spawn(words, log=name + ".log")
-        await asyncio.sleep(0.3)
+        replicas[name], port = await w.start_replica(name, f"stream:{EVENTS}:100:{FIRST}:500")
         w.register(store, name, service="engine", zone=zone, address=f"{world.LOOPBACK}:{port}")
     beats = asyncio.create_task(w.heartbeats(store))
     hosts = []
@@ -61,7 +57,7 @@
     sender.cancel()
     await asyncio.gather(*tasks)
     beats.cancel()
-    with open(runs, encoding="utf-8") as lines:
+    with open(w.runs, encoding="utf-8") as lines:
         for line in lines.read().splitlines():
             w.log("replica: " + line.split(" ", 1)[1])
 
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -1,6 +1,6 @@
 """Stand-ins of the platform for the cases of the review: its store, its clients, and the start of hosts and
 replicas as processes. Only the standard library is used, and only loopback addresses."""
-import asyncio, base64, json, os, shutil, signal, socket, struct, subprocess, sys, tempfile, time
+import asyncio, base64, json, os, random, shutil, signal, socket, struct, subprocess, sys, tempfile, time
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", ".."))
 LOOPBACK = "127.0.0.1"
@@ -10,11 +10,17 @@
     """The case could not be played; this says nothing about the rule."""
 
 
+USED = set()
+
+
 def free_ports(count):
-    """Ports below the range from which the system takes ports of outgoing connections."""
-    found, port = [], 11000 + os.getpid() % 9000
-    while len(found) < count:
-        port += 1
+    """Ports below the range from which the system takes ports of outgoing connections; each is given once."""
+    found = []
+    for _ in range(5000):
+        port = random.randrange(11000, 32000)
+        if port in USED:
+            continue
+        USED.add(port)
         probe = socket.socket()
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
@@ -23,9 +29,9 @@
         except OSError:
             pass
         probe.close()
-        if port > 32000:
-            raise CannotRun("no free ports")
-    return found
+        if len(found) == count:
+            return found
+    raise CannotRun("no free ports")
 
 
 async def read_head(reader):
@@ -238,6 +244,7 @@
         self.record = open(record, "w", encoding="utf-8")
         self.began = time.monotonic()
         self.entries = {}
+        self.runs = os.path.join(self.temp, "runs.txt")  # what replicas ran
 
     def log(self, text):
         self.record.write(f"{time.monotonic() - self.began:8.3f} {text}\n")
@@ -253,6 +260,21 @@
         self.children.append(child)
         return child
 
+    async def start_replica(self, name, kind, env=None, port=None):
+        """Starts a replica and waits until it listens. Returns its process and its port."""
+        port = port or free_ports(1)[0]
+        program = os.path.join(os.path.dirname(os.path.abspath(__file__)), "replica.py")
+        child = self.spawn([sys.executable, program, name, str(port), kind, self.runs], env, name + ".log")
+        until = time.monotonic() + 15
+        while time.monotonic() < until and child.poll() is None:
+            try:
+                _, writer = await asyncio.open_connection(LOOPBACK, port)
+                writer.close()
+                return child, port
+            except OSError:
+                await asyncio.sleep(0.02)
+        raise CannotRun(f"replica {name} does not listen")
+
     def start_host(self, number, zone, store_port, seeds, grace=8):
         """Starts a host with the command of the deploy file and settings as its template makes them."""
         ports = free_ports(4)
