--- a/review/4/case.py
+++ b/review/4/case.py
@@ -53,7 +53,10 @@
         replicas["engine-0"].send_signal(signal.SIGKILL)  # one of four
         w.entries.pop("engine-0")
         w.log("engine-0 crashes")
-    await asyncio.sleep(4)
+    await asyncio.sleep(3.6)
+    if trouble:
+        store.put("keyed.servers", "engine-0", None)  # three heartbeats of silence
+    await asyncio.sleep(0.4)
     sender.cancel()
     await asyncio.gather(*tasks)
     beats.cancel()
