A stream that breaks before its first event begins anew

Cause: `resume` and the handover of a stalled stream replaced the id of an event that was never received by 0. Streams may begin with that id. Events without ids have no last id either, and a second run from the beginning was joined to them.

The id stays optional up to the header, and a stream is not continued after an event without one.

--- a/sequoiacrank-edge/src/stream.rs
+++ b/sequoiacrank-edge/src/stream.rs
@@ -123,10 +123,15 @@
         self.buffer.split().freeze()
     }
 
-    /// Id of the last event that was returned.
+    /// Id of the last event that was returned; `None` if another endpoint begins the stream anew.
     pub fn last_id(&self) -> Option<u64> {
         self.sequence.last()
     }
+
+    /// Whether another endpoint can continue the stream.
+    pub fn is_resumable(&self) -> bool {
+        self.sequence.is_resumable()
+    }
 }
 
 /// Whether bytes hold nothing but ends of lines.
@@ -212,7 +217,7 @@
                 let resumed = tokio::select! {
                     biased;
                     () = sender.closed() => return log_caller_gone(&exchange),
-                    resumed = resume(&exchange, events.last_id(), send) => resumed,
+                    resumed = resume(&exchange, &events, send) => resumed,
                 };
                 match resumed {
                     Some(next) => upstream = next,
@@ -241,19 +246,24 @@
     log::info!(target: "request", id, endpoint = upstream.call.endpoint.as_str(), last, status; "stream resumed");
 }
 
-/// Waits for the endpoint that continues a broken stream after event `last`: that of `send`, or
+/// Waits for the endpoint that continues a broken stream after its last event: that of `send`, or
 /// another one. Endpoints that cannot be reached do not end the stream.
 async fn resume(
     exchange: &exchange::Exchange,
-    last: Option<u64>,
+    events: &Events,
     mut send: Option<handover::Send<'_>>,
 ) -> Option<exchange::Upstream> {
+    let last = events.last_id();
+    if !events.is_resumable() {
+        let id = exchange.head.attempt.as_str();
+        log::info!(target: "request", id, last; "last event has no id");
+        return None;
+    }
     let mut permit = None;
     for _ in 0..exchange::MAX_UNREACHED {
         let next = match send.take() {
             Some(send) => send,
             None => {
-                let last = Some(last.unwrap_or_default());
                 let granted = permit.take().filter(|_| exchange.may_repeat());
                 let granted = granted.or_else(|| exchange.retry_permit("stream broken"));
                 let next = match granted {
@@ -298,17 +308,17 @@
     loop {
         let wait_start = exchange.host.clock.now();
         let idle = wait_start.saturating_sub(last_event);
-        let timeout = match exchange.may_repeat() {
+        let may_move = exchange.may_repeat() && events.is_resumable();
+        let timeout = match may_move {
             true => STALL_TIMEOUT.saturating_sub(idle).min(exchange.time_left()),
             false => exchange.time_left(),
         };
         if timeout.is_zero() && handover.is_none() {
-            if !exchange.may_repeat() {
+            if !may_move {
                 return End::Broken(fleet::End::Silent, NO_EVENT, None);
             }
-            let last = Some(events.last_id().unwrap_or_default());
             let granted = permit.take().or_else(|| exchange.switch_permit("stream stalled"));
-            handover = granted.map(|granted| exchange.hand_over(last, granted));
+            handover = granted.map(|granted| exchange.hand_over(events.last_id(), granted));
             last_event = wait_start;
             continue;
         }
--- a/sequoiacrank-kernel/src/edge/sequence.rs
+++ b/sequoiacrank-kernel/src/edge/sequence.rs
@@ -27,6 +27,8 @@
     has_gap: bool,
     /// Whether an endpoint is to continue the stream and has not sent an event yet.
     resuming: bool,
+    /// Whether an event without an id came after the last one with an id.
+    unnumbered: bool,
 }
 
 impl Sequence {
@@ -40,6 +42,12 @@
         self.last
     }
 
+    /// Whether another endpoint can continue the stream. The ids do not tell it where to go on
+    /// after an event without one.
+    pub fn is_resumable(&self) -> bool {
+        !self.unnumbered
+    }
+
     /// Records that the next event is the first one of another endpoint.
     pub fn resume(&mut self) {
         self.resuming = true;
@@ -61,9 +69,13 @@
                 self.has_gap |= last.is_some_and(|last| id - last > 1);
                 self.last = Some(id);
                 self.count += 1;
+                self.unnumbered = false;
+                Place::Next
+            }
+            (None, _) => {
+                self.unnumbered = true;
                 Place::Next
             }
-            (None, _) => Place::Next,
         };
         self.resuming &= place == Place::Elsewhere;
         place
--- a/sequoiacrank-kernel/tests/edge/sequence.rs
+++ b/sequoiacrank-kernel/tests/edge/sequence.rs
@@ -49,3 +49,14 @@
         assert_eq!(resumed(ids).place(Some(id)), Place::Elsewhere, "{ids:?} {id}");
     }
 }
+
+/// An event without an id leaves open where another endpoint goes on.
+#[test]
+fn events_without_ids() {
+    let mut sequence = sequence::Sequence::default();
+    assert!(sequence.is_resumable());
+    for (id, resumable) in [(Some(0), true), (None, false), (None, false), (Some(1), true)] {
+        assert_eq!(sequence.place(id), Place::Next);
+        assert_eq!(sequence.is_resumable(), resumable, "{id:?}");
+    }
+}
