A key that is missing in the complete set was deleted before its end

Cause: Records::replace marked keys that are missing in the complete set as deleted at its end, which is the offset of the next record. merge then dropped that record as known if it was one of the same key. Entries of endpoints had the same fault.

The mark takes the last offset before the end. At the same offset a value replaces a mark, which hosts of earlier versions still send during a roll-out.

--- a/sequoiacrank-kernel/src/edge/records.rs
+++ b/sequoiacrank-kernel/src/edge/records.rs
@@ -60,6 +60,12 @@
         let mut changed = Vec::new();
         for record in records {
             match self.newest.get(&record.key) {
+                // Hosts of earlier versions mark a missing key as deleted at the offset of the next
+                // record, which may be one of that key.
+                Some((offset, None)) if *offset == record.offset && record.value.is_some() => {
+                    changed.push(record.key.clone());
+                    self.newest.insert(record.key, (record.offset, record.value));
+                }
                 Some((offset, _)) if *offset >= record.offset => {}
                 Some((_, value)) if *value == record.value => {
                     self.newest.insert(record.key, (record.offset, record.value));
@@ -74,7 +80,8 @@
         changed
     }
 
-    /// Merges the complete set of records up to `end`. A key that is not among them was deleted.
+    /// Merges the complete set of records up to `end`. A key that is not among them was deleted, at
+    /// the last offset before `end` at the latest.
     pub fn replace(
         &mut self,
         records: Vec<Record<B>>,
@@ -87,7 +94,7 @@
         for (key, (offset, value)) in &mut self.newest {
             if value.is_some() && *offset < end && !present.contains(key) {
                 *value = None;
-                *offset = end;
+                *offset = end - 1;
                 changed.push(key.clone());
             }
         }
--- a/sequoiacrank-kernel/tests/edge/units.rs
+++ b/sequoiacrank-kernel/tests/edge/units.rs
@@ -80,6 +80,52 @@
     assert_eq!(all.end(), 10);
 }
 
+/// Guards against a key that stays deleted for ever: it was marked as deleted at the offset of the
+/// next record, which was then dropped as known if it was one of that key.
+#[test]
+fn record_after_missing_key() {
+    for repeats in 1..4 {
+        let mut all = records::Records::default();
+        all.merge(vec![record("a", Some(1), 0), record("b", Some(1), 1)], 2, site::ms(1));
+        for end in 4..4 + repeats {
+            all.replace(vec![record("b", Some(1), 1)], end, site::ms(2));
+        }
+        let end = all.end();
+        let mut other = records::Records::default();
+        other.merge(all.since(0), end, site::ms(3));
+        for known in [&mut all, &mut other] {
+            assert_eq!(known.get("a"), None);
+            assert_eq!(known.merge(vec![record("a", Some(2), end)], end + 1, site::ms(4)), ["a"]);
+            assert_eq!(known.get("a"), Some(&2));
+        }
+    }
+}
+
+/// A mark of deletion of a process that puts it at the offset of the next record gives way to
+/// that record, whichever arrives first.
+#[test]
+fn mark_at_offset_of_record() {
+    let (mark, real) = (record("a", None, 4), record("a", Some(2), 4));
+    for (first, second) in [(&mark, &real), (&real, &mark)] {
+        let mut all = records::Records::default();
+        all.merge(vec![record("a", Some(1), 0)], 1, site::ms(1));
+        all.merge(vec![first.clone()], 5, site::ms(2));
+        all.merge(vec![second.clone()], 5, site::ms(3));
+        assert_eq!(all.get("a"), Some(&2));
+    }
+}
+
+/// A complete set that is older than known records does not delete them.
+#[test]
+fn older_complete_set() {
+    let mut all = records::Records::default();
+    all.merge(vec![record("a", Some(1), 0)], 1, site::ms(1));
+    all.merge(vec![record("a", None, 3)], 4, site::ms(2));
+    all.merge(vec![record("a", Some(2), 4)], 5, site::ms(3));
+    assert!(all.replace(vec![], 4, site::ms(4)).is_empty());
+    assert_eq!((all.get("a"), all.end()), (Some(&2), 5));
+}
+
 /// The rate holds in each second, wherever it begins, and is mostly used.
 #[test]
 fn pace_bounds_any_second() {
