One host holds a duty, whichever hosts were silent for another one

Cause: the host that grants the requests to a limited endpoint followed from a list that left out hosts which had not accepted a job of stage work of this host in time. That is a private view: other hosts asked another limiter, and both granted the whole limit. Each job that waited counted as a silence, up to 16 s.

Duties follow from statements and reachability alone now, in kernel/edge/members/duty. The silent host is left out only where this host submits its stage work, and one silence counts once. The same list decided who reads the store, who announces a limit and who decides on moves of versions.

In two tests `candidates(now)` is now `work_candidates(now)`, the list that they are about.

--- a/sequoiacrank-edge/src/moves.rs
+++ b/sequoiacrank-edge/src/moves.rs
@@ -12,7 +12,6 @@
 use crate::host;
 use crate::peer;
 use crate::peer::wire;
-use crate::stages;
 use crate::store;
 
 /// Number of hosts that decide on moves by the results of all hosts. One would be enough; the
@@ -43,7 +42,7 @@
         if moves.is_empty() {
             return;
         }
-        for evaluator in stages::first_hosts(self, EVALUATORS) {
+        for evaluator in self.peers.members().first_hosts(EVALUATORS) {
             let message = wire::Moves { moves: moves.clone() };
             self.peers.send(self, evaluator, wire::Body::Moves(message));
         }
@@ -74,7 +73,7 @@
             continue;
         }
         evaluate(&host);
-        let is_first = stages::store_position(&host) == 0 && !host.stop.is_leaving();
+        let is_first = host.peers.members().store_position() == 0 && !host.stop.is_leaving();
         if is_first && host.peers.settling_time(&host).is_none() {
             write_statuses(&host).await;
         }
@@ -83,7 +82,7 @@
 
 /// Evaluates moves and applies the changes of their phases.
 fn evaluate(host: &rc::Rc<host::Host>) {
-    let decides = stages::store_position(host) < EVALUATORS;
+    let decides = host.peers.members().store_position() < EVALUATORS;
     let changes =
         host.facts.borrow_mut().moves.tick(host.clock.now(), &rollout::Sequential, decides);
     if changes.is_empty() {
--- a/sequoiacrank-edge/src/notices.rs
+++ b/sequoiacrank-edge/src/notices.rs
@@ -16,7 +16,6 @@
 use crate::host;
 use crate::peer::wire;
 use crate::peer::wire::limits;
-use crate::stages;
 
 /// Time to wait for the answer of a limiter: many times the round trip.
 const ANSWER_TIMEOUT: time::Duration = time::Duration::from_millis(100);
@@ -52,6 +51,11 @@
     }
 }
 
+/// The other host that grants the requests to an endpoint with a limit, or `None` if this one does.
+fn limiter_of(host: &host::Host, endpoint: &str) -> Option<net::SocketAddr> {
+    host.peers.members().assigned_host(endpoint, host.stop.is_leaving())
+}
+
 /// Applies the notice in an answer of an endpoint. A change of the limit goes to the endpoint's
 /// limiter, which tells the other hosts.
 pub fn apply(
@@ -76,7 +80,7 @@
         matches!(change, notice::Change::Limited { .. } | notice::Change::Lifted { .. })
     };
     if changes.iter().any(is_limit) {
-        match stages::assigned_host(host, instance.0, &[]) {
+        match limiter_of(host, instance.0) {
             Some(limiter) => {
                 let limit = encode_limit(host, instance, None);
                 host.peers.send(host, limiter, wire::Body::Limit(limit));
@@ -162,7 +166,7 @@
         ((endpoint, entry.started_at), facts.fleet.notices.limit(entry.instance()))
     };
     let Some(rate) = limit else { return true };
-    let limiter = stages::assigned_host(host, endpoint, &[]);
+    let limiter = limiter_of(host, endpoint);
     let verdict = match limiter {
         None => grant_locally(host, instance, rate, rank),
         Some(limiter) => ask_limiter(host, limiter, instance, rank).await,
--- a/sequoiacrank-edge/src/stages.rs
+++ b/sequoiacrank-edge/src/stages.rs
@@ -1,15 +1,11 @@
 //! Obtains the results of stage work: from the host that forms the calls of a batcher, or here if
 //! that is this one.
-//!
-//! It also orders the hosts, for batchers and for access to the store.
 
 use std::cell;
-use std::cmp;
 use std::net;
 use std::rc;
 use std::time;
 
-use sequoiacrank_kernel::edge::members;
 use sequoiacrank_kernel::edge::stage;
 use sequoiacrank_kernel::id;
 use sequoiacrank_kernel::map;
@@ -123,68 +119,6 @@
     }
 }
 
-/// Returns the other host that forms the calls of the batcher `name`, or that grants the requests
-/// to the endpoint `name` if it has a rate limit; `None` if this host does. Hosts that agree on
-/// which hosts are alive return the same one.
-pub fn assigned_host(
-    host: &host::Host,
-    name: &str,
-    excluded: &[net::SocketAddr],
-) -> Option<net::SocketAddr> {
-    let members = host.peers.members();
-    let own = members.own_candidate();
-    let others = members.candidates(host.clock.now()).filter(|it| !excluded.contains(&it.host));
-    let first = others.min_by_key(|it| batcher_order(name, it));
-    match first {
-        Some(first)
-            if host.stop.is_leaving()
-                || batcher_order(name, &first) < batcher_order(name, &own) =>
-        {
-            Some(first.host)
-        }
-        _ => None,
-    }
-}
-
-/// Position of this host among those that are alive, in the order in which they read and write the
-/// store for all.
-pub fn store_position(host: &host::Host) -> usize {
-    let members = host.peers.members();
-    let own = store_order(&members.own_candidate());
-    members.candidates(host.clock.now()).filter(|other| store_order(other) < own).count()
-}
-
-/// Position of this host as in [`store_position`], but regardless of which hosts reach the store.
-/// While hosts reconnect to the store one after the other, each of them changes the store positions
-/// of the others.
-pub fn stable_position(host: &host::Host) -> usize {
-    let members = host.peers.members();
-    let own = batcher_order("", &members.own_candidate());
-    members.candidates(host.clock.now()).filter(|other| batcher_order("", other) < own).count()
-}
-
-/// Orders hosts for access to the store: those that reach it come first.
-fn store_order(candidate: &members::Candidate) -> (bool, (cmp::Reverse<u32>, u64)) {
-    (candidate.without_store, batcher_order("", candidate))
-}
-
-/// The first `count` hosts in the order of [`store_order`], without this one.
-pub fn first_hosts(host: &host::Host, count: usize) -> Vec<net::SocketAddr> {
-    let members = host.peers.members();
-    let own = members.own_candidate();
-    let mut all: Vec<_> = members.candidates(host.clock.now()).chain([own]).collect();
-    all.sort_unstable_by_key(store_order);
-    let first = all.into_iter().take(count).map(|it| it.host);
-    first.filter(|&it| it != own.host).collect()
-}
-
-/// Orders hosts for a batcher: those with more processor time come first, and equal ones in an
-/// order that differs between batchers.
-fn batcher_order(shard: &str, candidate: &members::Candidate) -> (cmp::Reverse<u32>, u64) {
-    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(shard.as_bytes(), candidate.hash);
-    (cmp::Reverse(candidate.cpu), hash)
-}
-
 /// Obtains the results of `job` from the host that forms the calls of the batcher `shard`.
 ///
 /// # Errors
@@ -199,9 +133,9 @@
     host.peers.wait_settled(host).await;
     let mut excluded = Vec::new();
     while excluded.len() < MAX_HOSTS {
-        let Some(address) = assigned_host(host, shard, &excluded) else {
-            return obtain_here(host, shard, job).await;
-        };
+        let (now, is_leaving) = (host.clock.now(), host.stop.is_leaving());
+        let other = host.peers.members().work_host(now, shard, is_leaving, &excluded);
+        let Some(address) = other else { return obtain_here(host, shard, job).await };
         match obtain_from(host, shard, &job, address).await {
             Some(result) => return result,
             None => excluded.push(address),
--- a/sequoiacrank-edge/src/store.rs
+++ b/sequoiacrank-edge/src/store.rs
@@ -14,7 +14,6 @@
 
 use crate::client;
 use crate::host;
-use crate::stages;
 
 /// Number of hosts that are readers. The first one reads the endpoints' records for all; the next
 /// one does so while the first announces nothing. Readers also notice soon if a read of the
@@ -125,7 +124,7 @@
 
 /// Whether this host is a reader.
 fn is_reader(host: &host::Host) -> bool {
-    stages::store_position(host) < READERS
+    host.peers.members().store_position() < READERS
 }
 
 /// Whether the endpoints' records are older than `age`, which means that readers announce nothing.
@@ -136,7 +135,7 @@
 
 /// Whether this host has to read the endpoints' records now.
 fn should_read(host: &host::Host) -> bool {
-    match stages::store_position(host) {
+    match host.peers.members().store_position() {
         0 => true,
         position if position < READERS => is_older(host, STANDBY_AGE),
         _ => is_older(host, STALE_AGE),
@@ -183,7 +182,7 @@
                 loaded = true;
                 let regained = std::mem::take(&mut failures) > 0;
                 let reader = if regained {
-                    stages::stable_position(&host) < READERS
+                    host.peers.members().stable_position() < READERS
                 } else {
                     is_reader(&host)
                 };
@@ -221,7 +220,7 @@
     loop {
         host.peers.wait_settled(&host).await;
         let alone = host.peers.members().alive().is_empty();
-        if !listed && (alone || stages::store_position(&host) < LISTED_HOSTS) {
+        if !listed && (alone || host.peers.members().store_position() < LISTED_HOSTS) {
             let request =
                 store::append(store::Topic::Hosts, &host.settings.host, own.as_bytes(), None);
             let answer = host.pool.call(host.settings.store, request, CALL_TIMEOUT).await;
--- a/sequoiacrank-kernel/src/edge/members.rs
+++ b/sequoiacrank-kernel/src/edge/members.rs
@@ -12,6 +12,7 @@
 //! partition between some pairs of hosts takes no host out of use as long as others hear both
 //! sides. Under a complete partition, each side continues with its own hosts.
 
+mod duty;
 pub mod gossip;
 pub mod heartbeat;
 pub mod overlay;
@@ -86,7 +87,7 @@
     process_since: id::Time,
     /// Whether the host is reachable.
     alive: bool,
-    /// Time until which the host is not asked for work, and how often this was set since it was
+    /// Time until which no work is submitted to the host, and how often this was set since it was
     /// last heard.
     backoff: (id::Time, u32),
     /// Number of the last heartbeat from the host, and of the last one from here that it
@@ -143,7 +144,7 @@
     }
 }
 
-/// A host that may be asked for work.
+/// A host that may perform duties for all.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Candidate {
     /// Address of the host.
@@ -345,17 +346,26 @@
         self.members.iter().filter(|(_, it)| it.alive).map(|(&it, _)| it).collect()
     }
 
-    /// The hosts that may be asked for work.
-    pub fn candidates(&self, now: id::Time) -> impl Iterator<Item = Candidate> {
-        self.members.iter().filter_map(move |(&address, it)| {
+    /// The other hosts that may perform duties for all. Hosts that agree on which hosts are alive
+    /// have the same ones.
+    pub fn candidates(&self) -> impl Iterator<Item = Candidate> {
+        self.members.iter().filter_map(|(&address, it)| {
             let statement = it.statement.as_ref()?;
-            let usable = it.alive && !statement.leaving && now >= it.backoff.0;
+            let usable = it.alive && !statement.leaving;
             let (without_store, cpu, hash) =
                 (statement.without_store, statement.cpu, it.positions[0]);
             usable.then_some(Candidate { host: address, without_store, cpu, hash })
         })
     }
 
+    /// The other hosts to which this one may submit work.
+    pub fn work_candidates(&self, now: id::Time) -> impl Iterator<Item = Candidate> {
+        let is_open = move |host: &net::SocketAddr| {
+            self.members.get(host).is_some_and(|member| now >= member.backoff.0)
+        };
+        self.candidates().filter(move |it| is_open(&it.host))
+    }
+
     /// This host as others see it.
     pub fn own_candidate(&self) -> Candidate {
         let (without_store, cpu, hash) = (self.own.without_store, self.own.cpu, self.positions[0]);
@@ -382,10 +392,11 @@
         self.shares.share(now, span, self.last_join.is_some())
     }
 
-    /// Stops asking a host for work for a while because it did not answer in time. The time grows
-    /// with each call until the host is heard again.
+    /// Submits no work to a host for a while because it did not answer in time. The time grows with
+    /// each further silence until the host is heard again. All work that waits for the host during
+    /// one silence counts once.
     pub fn back_off(&mut self, now: id::Time, address: net::SocketAddr) {
-        if let Some(member) = self.members.get_mut(&address) {
+        if let Some(member) = self.members.get_mut(&address).filter(|it| now >= it.backoff.0) {
             let (_, times) = member.backoff;
             member.backoff = (now + MIN_BACKOFF * (1 << times.min(MAX_DOUBLINGS)), times + 1);
         }
--- a/sequoiacrank-kernel/tests/edge/members.rs
+++ b/sequoiacrank-kernel/tests/edge/members.rs
@@ -141,7 +141,7 @@
 #[test]
 fn lost_host_is_forgotten() {
     let mut host = pair();
-    let candidates = |host: &members::Members, at| host.candidates(site::ms(at)).count();
+    let candidates = |host: &members::Members, at| host.work_candidates(site::ms(at)).count();
     assert_eq!(candidates(&host, 1000), 1);
     host.back_off(site::ms(1000), address(1));
     assert_eq!(candidates(&host, 1100), 0);
@@ -206,7 +206,7 @@
     let mut now = site::ms(200);
     let mut asked = 0;
     while now < site::ms(30_000) {
-        if host.candidates(now).next().is_some() {
+        if host.work_candidates(now).next().is_some() {
             asked += 1;
             host.back_off(now, address(1));
         }
@@ -215,7 +215,46 @@
     assert_eq!(asked, 4);
     host.record_message(now, address(1));
     host.back_off(now, address(1));
-    assert!(host.candidates(now + site::ms(2100)).next().is_some());
+    assert!(host.work_candidates(now + site::ms(2100)).next().is_some());
+}
+
+/// Guards against one silence that counts once for each job that waits: a silence of a second kept
+/// a host without work for 16 s.
+#[test]
+fn back_off_counts_silences() {
+    let mut host = pair();
+    (0..20).for_each(|job| host.back_off(site::ms(200 + job), address(1)));
+    assert_eq!(host.work_candidates(site::ms(2100)).count(), 0);
+    assert_eq!(host.work_candidates(site::ms(2300)).count(), 1);
+}
+
+/// Guards against two hosts that perform one duty for all: a host that had work waiting at a silent
+/// one took another host for the one that grants the requests to a limited endpoint.
+#[test]
+fn back_off_moves_no_duty() {
+    let mut world = mesh::World::new(5, 1);
+    world.run(site::ms(4000));
+    let hosts: Vec<_> =
+        (0..5).map(|own| world.host(own).expect("host not started").0.clone()).collect();
+    let holder = |own: usize, host: &members::Members, name: &str| {
+        host.assigned_host(name, false).unwrap_or(mesh::address(own))
+    };
+    let positions = |hosts: &[members::Members]| -> Vec<_> {
+        hosts.iter().map(|it| (it.store_position(), it.stable_position())).collect()
+    };
+    for (own, silent) in (0..5).flat_map(|own| (0..5).map(move |silent| (own, silent))) {
+        let (now, address) = (site::ms(4000), mesh::address(silent));
+        let mut seen = hosts.clone();
+        seen[own].back_off(now, address);
+        assert_eq!(positions(&seen), positions(&hosts));
+        assert_eq!(seen[own].first_hosts(3), hosts[own].first_hosts(3));
+        for name in (0..40).map(|number| format!("endpoint-{number}")) {
+            let holders: Vec<_> = (0..5).map(|it| holder(it, &seen[it], &name)).collect();
+            assert!(holders.iter().all(|it| *it == holders[0]), "{name} {holders:?}");
+            let work = seen[own].work_host(now, &name, false, &[]);
+            assert!(own == silent || work != Some(address), "{name}");
+        }
+    }
 }
 
 /// When a large configuration comes into force, all other hosts announce it with each heartbeat.
--- a/sequoiacrank-kernel/tests/edge/overlay.rs
+++ b/sequoiacrank-kernel/tests/edge/overlay.rs
@@ -165,8 +165,8 @@
     let mut world = mesh::World::new(30, 1);
     world.run(site::ms(4000));
     let candidates = |own| {
-        let (known, now) = world.host(own).expect("host is up");
-        let mut candidates: Vec<_> = known.candidates(now).chain([known.own_candidate()]).collect();
+        let (known, _) = world.host(own).expect("host is up");
+        let mut candidates: Vec<_> = known.candidates().chain([known.own_candidate()]).collect();
         candidates.sort_unstable_by_key(|candidate| (candidate.cpu, candidate.hash));
         candidates
     };
