A leaving host takes only requests that end before its process

Cause: the deadline of a request was not compared with the end of the process, and the phase was checked with the head although the body may arrive seconds later. At the end the process exited with its connections open.

A request whose deadline lies behind the end is refused as not run when its body has arrived, and its caller is told to go elsewhere at once.

--- a/sequoiacrank-edge/src/exchange/admission.rs
+++ b/sequoiacrank-edge/src/exchange/admission.rs
@@ -48,8 +48,7 @@
     };
     let id = head.attempt.clone();
     if host.stop.is_closing() {
-        // A request that begins now may not end before the process exits.
-        return Err(refuse(refusal::Refusal::retry_soon(code::Code::NotReady), &id));
+        return Err(refuse(refusal::Refusal::leaving(), &id));
     }
     let catalog = host.facts.borrow().catalog.clone();
     let Some(catalog) = catalog else {
@@ -75,6 +74,12 @@
             return Err(refuse(refusal::Refusal::new(code::Code::BodyLate), &id));
         }
     };
+    let budget = head.budget.map_or(route.timeout, |budget| budget.min(route.timeout));
+    let deadline = began + budget;
+    // Checked once the body has arrived, which may be long after the head.
+    if !host.stop.allows(deadline) {
+        return Err(refuse(refusal::Refusal::leaving(), &id));
+    }
     let fingerprint = fingerprint(&parts, head.key.as_deref(), &body);
     let identity = crash::Request::new(fingerprint, &head.prompt_parts);
     if suspect::is_suspect(host, &id, &identity) {
@@ -89,13 +94,12 @@
             .then(|| facts.sessions.key(&route.name, &head.prompt_parts))
             .flatten()
     };
-    let budget = head.budget.map_or(route.timeout, |budget| budget.min(route.timeout));
     Ok(exchange::Exchange {
         host: host.clone(),
         forwarded: call::forwarded_headers(&parts.headers),
         method: parts.method,
         uri: parts.uri,
-        deadline: began + budget,
+        deadline,
         target_time: began + route.target_latency,
         rank: catalog.rank(&route, workspace.as_deref()),
         version: catalog.version,
--- a/sequoiacrank-edge/src/front.rs
+++ b/sequoiacrank-edge/src/front.rs
@@ -86,13 +86,6 @@
         .max_headers(MAX_HEADERS)
         .serve_connection(idle::Stream::new(stream, idle.clone()), handler);
     let mut connection = std::pin::pin!(connection);
-    let mut phases = host.stop.phases();
-    let closing = async {
-        // The sender lives as long as the host, which exits only after it has sent this phase.
-        if phases.wait_for(|phase| *phase == stop::Phase::Closing).await.is_err() {
-            future::pending::<()>().await;
-        }
-    };
     // In the closing phase, the first request of a new connection is refused, and that answer
     // closes the connection.
     let is_closing = host.stop.is_closing();
@@ -103,7 +96,7 @@
             connection.as_mut().graceful_shutdown();
             finish(connection, &idle).await
         }
-        () = closing, if !is_closing => {
+        () = host.stop.reached(stop::Phase::Closing), if !is_closing => {
             connection.as_mut().graceful_shutdown();
             finish(connection, &idle).await
         }
--- a/sequoiacrank-edge/src/refusal.rs
+++ b/sequoiacrank-edge/src/refusal.rs
@@ -31,6 +31,11 @@
         Refusal { code, retry_after: Some(RETRY_SOON) }
     }
 
+    /// A refusal by a host that is leaving. Other hosts can serve the request at once.
+    pub fn leaving() -> Self {
+        Refusal { code: code::Code::NotReady, retry_after: Some(time::Duration::ZERO) }
+    }
+
     /// The answer to the caller.
     pub fn answer(self) -> front::Answer {
         let text =
--- a/sequoiacrank-edge/src/stop.rs
+++ b/sequoiacrank-edge/src/stop.rs
@@ -1,11 +1,15 @@
 //! Graceful shutdown: the host first fails the load balancer's health checks, then closes its
-//! connections, waits for its requests to end, and exits.
+//! connections, waits for its requests to end, and exits. Requests that still run at the end of the
+//! grace period are ended.
 
 use std::cell;
+use std::future;
 use std::io;
 use std::rc;
 use std::time;
 
+use sequoiacrank_kernel::edge::exit;
+use sequoiacrank_kernel::id;
 use tokio::signal::unix;
 use tokio::sync::watch;
 
@@ -14,25 +18,29 @@
 /// Time for which new requests are still served. The load balancer stops sending after two failed
 /// checks, one a second, and requests that it sent before may still arrive.
 const ACCEPT_TIME: time::Duration = time::Duration::from_millis(2600);
-/// Fraction of the grace period that is left when the process exits at the latest.
-const GRACE_RESERVE: f64 = 0.06;
 /// Time between two checks whether all requests have ended.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(50);
+/// Number of such intervals for which requests that are ended may take to end.
+const MAX_ENDING_CHECKS: u32 = 4;
 
 /// Phase of a shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     /// No shutdown has begun.
     Serving,
-    /// The health checks of the load balancer fail; new requests are still served.
+    /// The health checks of the load balancer fail; new requests are still served if they end before
+    /// the process does.
     Leaving,
     /// New requests are refused; each connection closes after the answer to its current request.
     Closing,
+    /// Requests that still run are ended.
+    Ending,
 }
 
 /// State of the shutdown, and the number of requests that it waits for.
 pub struct Stop {
     phase: watch::Sender<Phase>,
+    exit: cell::Cell<exit::Exit>,
     active: cell::Cell<usize>,
     /// Number of connections on which bytes wait to be written.
     blocked: cell::Cell<usize>,
@@ -42,6 +50,7 @@
     fn default() -> Self {
         Stop {
             phase: watch::Sender::new(Phase::Serving),
+            exit: cell::Cell::default(),
             active: cell::Cell::new(0),
             blocked: cell::Cell::new(0),
         }
@@ -66,12 +75,21 @@
 
     /// Whether new requests are refused.
     pub fn is_closing(&self) -> bool {
-        *self.phase.borrow() == Phase::Closing
+        *self.phase.borrow() >= Phase::Closing
     }
 
-    /// Subscribes to changes of the phase.
-    pub fn phases(&self) -> watch::Receiver<Phase> {
-        self.phase.subscribe()
+    /// Whether a request with this deadline may be taken.
+    pub fn allows(&self, deadline: id::Time) -> bool {
+        self.exit.get().allows(deadline)
+    }
+
+    /// Waits until a phase has begun.
+    pub async fn reached(&self, phase: Phase) {
+        let mut phases = self.phase.subscribe();
+        if phases.wait_for(|current| *current >= phase).await.is_err() {
+            // The sender is a field of this value.
+            future::pending::<()>().await;
+        }
     }
 
     /// Counts a request as active until the returned value is dropped.
@@ -109,22 +127,26 @@
             _ = reload.recv() => host.reload("SIGHUP"),
         }
     }
-    let began = host.clock.now();
+    let exit = exit::Exit::plan(host.clock.now(), host.reloadable.borrow().grace);
+    host.stop.exit.set(exit);
     host.stop.phase.send_replace(Phase::Leaving);
     host.peers.send_heartbeats(host);
     log::info!(target: "process", requests = host.stop.active_requests(); "stopping");
     tokio::time::sleep(ACCEPT_TIME).await;
     host.stop.phase.send_replace(Phase::Closing);
-    let deadline = began + host.reloadable.borrow().grace.mul_f64(1.0 - GRACE_RESERVE);
-    let is_busy = || {
-        let stop = &host.stop;
-        stop.active_requests() > 0 || stop.blocked.get() > 0 || host.batcher.len() > 0
-    };
-    while host.clock.now() < deadline && is_busy() {
+    let is_serving = || host.stop.active_requests() > 0 || host.stop.blocked.get() > 0;
+    while !exit.is_due(host.clock.now()) && (is_serving() || host.batcher.len() > 0) {
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
     if host.stop.active_requests() > 0 {
-        log::warn!(target: "process", requests = host.stop.active_requests(); "stopped with requests in flight");
+        log::warn!(target: "process", requests = host.stop.active_requests(); "ending requests in flight");
+    }
+    host.stop.phase.send_replace(Phase::Ending);
+    for _ in 1..MAX_ENDING_CHECKS {
+        if !is_serving() {
+            break;
+        }
+        tokio::time::sleep(CHECK_INTERVAL).await;
     }
     // Lets the connections write the answers that they were given.
     tokio::time::sleep(CHECK_INTERVAL).await;
--- a/sequoiacrank-edge/src/stream.rs
+++ b/sequoiacrank-edge/src/stream.rs
@@ -1,15 +1,15 @@
 //! Streams of server-sent events. They are forwarded to the caller event by event. If one breaks,
 //! another endpoint continues it after the last complete event.
 
+mod events;
+
 use std::rc;
 use std::time;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http_body_util::BodyExt as _;
 use sequoiacrank_kernel::code;
 use sequoiacrank_kernel::edge::fleet;
-use sequoiacrank_kernel::edge::sequence;
 use tokio::sync::mpsc;
 use tokio::task;
 
@@ -19,6 +19,7 @@
 use crate::exchange;
 use crate::exchange::handover;
 use crate::host;
+use crate::stop;
 
 /// Maximum number of events that are buffered until the caller reads them.
 const QUEUE_EVENTS: usize = 16;
@@ -29,134 +30,14 @@
 const RESUME_PAUSE: time::Duration = time::Duration::from_millis(50);
 /// Reason in the logs for a stream that has stalled.
 const NO_EVENT: &str = "no event in time";
-/// Length of the longest event in bytes: hundreds of times that of an engine's events, which hold a
-/// few tokens, but small compared to the memory of a host.
-const MAX_EVENT_BYTES: usize = 256 << 10;
-
-/// Splits a stream into complete events.
-#[derive(Debug, Default)]
-pub struct Events {
-    buffer: BytesMut,
-    /// Length of the prefix of the buffer in which no event ends.
-    searched: usize,
-    /// Ids of the events that were returned.
-    sequence: sequence::Sequence,
-    /// Whether an event did not continue the stream of an earlier endpoint.
-    misplaced: bool,
-    /// Whether an event was returned.
-    has_begun: bool,
-}
-
-/// The bytes that end an event.
-const EVENT_END: &[u8] = b"\n\n";
-
-impl Events {
-    /// Appends received bytes.
-    pub fn push(&mut self, bytes: &[u8]) {
-        self.buffer.extend_from_slice(bytes);
-    }
-
-    /// Returns the next complete event. Events that the caller already has, by their ids, are
-    /// skipped, and so are comments before the first event of another endpoint. An event that does
-    /// not continue the stream is a fault and is not returned.
-    pub fn next(&mut self) -> Option<Bytes> {
-        loop {
-            let unsearched = &self.buffer[self.searched..];
-            let Some(end) =
-                unsearched.windows(EVENT_END.len()).position(|window| window == EVENT_END)
-            else {
-                self.searched = (self.buffer.len() + 1).saturating_sub(EVENT_END.len());
-                return None;
-            };
-            let event = self.buffer.split_to(self.searched + end + EVENT_END.len()).freeze();
-            self.searched = 0;
-            if is_comment(&event) {
-                match self.sequence.is_resuming() {
-                    true => continue,
-                    false => return Some(event),
-                }
-            }
-            match self.sequence.place(event_id(&event)) {
-                sequence::Place::Next => {
-                    self.has_begun = true;
-                    return Some(event);
-                }
-                sequence::Place::Earlier => {}
-                sequence::Place::Elsewhere => {
-                    self.misplaced = true;
-                    return None;
-                }
-            }
-        }
-    }
-
-    /// Why the received bytes can't be part of the stream, if they can't.
-    pub fn fault(&self) -> Option<&'static str> {
-        match self.misplaced {
-            true => Some("another event than the next"),
-            false => (self.buffer.len() > MAX_EVENT_BYTES).then_some("event too long"),
-        }
-    }
-
-    /// Why the stream is not complete after the end of an endpoint's answer, if it is not. An answer
-    /// that is not framed ends with its connection, also if the endpoint crashes.
-    pub fn end_fault(&self, is_framed: bool) -> Option<&'static str> {
-        match () {
-            () if self.sequence.is_resuming() => Some("no event after the last one"),
-            () if !is_blank(&self.buffer) => Some("ended inside an event"),
-            () if !is_framed && !self.has_begun => Some("ended before the first event"),
-            () => None,
-        }
-    }
-
-    /// Expects the next event from another endpoint. Drops an incomplete event.
-    pub fn switch_endpoint(&mut self) {
-        self.searched = 0;
-        self.buffer.clear();
-        self.misplaced = false;
-        self.sequence.resume();
-    }
-
-    /// Returns the rest of the buffer after the end of the stream.
-    pub fn take_rest(&mut self) -> Bytes {
-        self.searched = 0;
-        self.buffer.split().freeze()
-    }
-
-    /// Id of the last event that was returned; `None` if another endpoint begins the stream anew.
-    pub fn last_id(&self) -> Option<u64> {
-        self.sequence.last()
-    }
-
-    /// Whether another endpoint can continue the stream.
-    pub fn is_resumable(&self) -> bool {
-        self.sequence.is_resumable()
-    }
-}
-
-/// Whether bytes hold nothing but ends of lines.
-fn is_blank(bytes: &[u8]) -> bool {
-    bytes.iter().all(|byte| b"\r\n".contains(byte))
-}
-
-/// Whether an event holds only comments, which keep the connection alive but show no progress of
-/// the stream.
-fn is_comment(event: &[u8]) -> bool {
-    event.split(|&byte| byte == b'\n').all(|line| line.is_empty() || line.starts_with(b":"))
-}
-
-/// The id of an event, if it has a numeric one.
-fn event_id(event: &[u8]) -> Option<u64> {
-    let line = event.split(|&byte| byte == b'\n').find_map(|line| line.strip_prefix(b"id:"))?;
-    std::str::from_utf8(line).ok()?.trim().parse().ok()
-}
-
 /// How an endpoint's part of a stream ended.
 enum End<'a> {
     /// The endpoint ended the stream.
     Complete,
     /// The caller disconnected.
     CallerGone,
+    /// The process ends.
+    Exit,
     /// Another endpoint continues the stream while this one is silent.
     Moved(Box<exchange::Upstream>),
     /// The stream broke, or the endpoint is silent: how the call ended, why, and the send to
@@ -179,11 +60,14 @@
 ) {
     let status = upstream.head.status;
     let first_byte = exchange.host.clock.now().saturating_sub(exchange.began);
-    let sequence = sequence::Sequence::after(exchange.head.resume);
-    let mut events = Events { sequence, ..Events::default() };
+    let mut events = events::Events::after(exchange.head.resume);
     let id = exchange.head.attempt.as_str();
     loop {
-        let end = forward_events(&exchange, &mut upstream, &mut events, &sender).await;
+        let end = tokio::select! {
+            biased;
+            end = forward_events(&exchange, &mut upstream, &mut events, &sender) => end,
+            () = exchange.host.stop.reached(stop::Phase::Ending) => End::Exit,
+        };
         match end {
             End::Complete => {
                 upstream.call.end(fleet::End::Good);
@@ -196,6 +80,7 @@
                 return;
             }
             End::CallerGone => return log_caller_gone(&exchange),
+            End::Exit => return end_early(&exchange, &sender).await,
             End::Moved(next) => {
                 events.switch_endpoint();
                 log_resumed(&exchange, &next, events.last_id());
@@ -221,19 +106,25 @@
                 };
                 match resumed {
                     Some(next) => upstream = next,
-                    None => {
-                        exchange.host.metrics.unanswered.with_label_values(&["truncated"]).inc();
-                        log::warn!(target: "request", id, code = code::Code::OutcomeLost.number(); "stream ended early");
-                        // This fails only if the caller has disconnected too.
-                        let _ = sender.send(Err(StreamError::Truncated)).await;
-                        return;
-                    }
+                    None => return end_early(&exchange, &sender).await,
                 }
             }
         }
     }
 }
 
+/// Ends a stream before its last event, so that it does not look complete.
+async fn end_early(
+    exchange: &exchange::Exchange,
+    sender: &mpsc::Sender<Result<Bytes, StreamError>>,
+) {
+    let id = exchange.head.attempt.as_str();
+    exchange.host.metrics.unanswered.with_label_values(&["truncated"]).inc();
+    log::warn!(target: "request", id, code = code::Code::OutcomeLost.number(); "stream ended early");
+    // This fails only if the caller has disconnected too.
+    let _ = sender.send(Err(StreamError::Truncated)).await;
+}
+
 fn log_caller_gone(exchange: &exchange::Exchange) {
     let id = exchange.head.attempt.as_str();
     let took = host::millis(exchange.host.clock.now().saturating_sub(exchange.began));
@@ -250,7 +141,7 @@
 /// another one. Endpoints that cannot be reached do not end the stream.
 async fn resume(
     exchange: &exchange::Exchange,
-    events: &Events,
+    events: &events::Events,
     mut send: Option<handover::Send<'_>>,
 ) -> Option<exchange::Upstream> {
     let last = events.last_id();
@@ -296,7 +187,7 @@
 async fn forward_events<'a>(
     exchange: &'a exchange::Exchange,
     upstream: &mut exchange::Upstream,
-    events: &mut Events,
+    events: &mut events::Events,
     sender: &mpsc::Sender<Result<Bytes, StreamError>>,
 ) -> End<'a> {
     // Only complete events that are not comments reset this time. A stream that sends other bytes
@@ -376,7 +267,7 @@
             // The first event shows that the endpoint has read its inputs, so the stage results can
             // be released.
             exchange.results.borrow_mut().take();
-            let comment_only = is_comment(&event);
+            let comment_only = events::is_comment(&event);
             if sender.send(Ok(event)).await.is_err() {
                 return End::CallerGone;
             }
--- a/sequoiacrank-kernel/src/edge.rs
+++ b/sequoiacrank-kernel/src/edge.rs
@@ -4,6 +4,7 @@
 pub mod catalog;
 pub mod crash;
 pub mod endpoint;
+pub mod exit;
 pub mod fleet;
 pub mod limiter;
 pub mod members;
--- a/sequoiacrank-kernel/tests/edge/units.rs
+++ b/sequoiacrank-kernel/tests/edge/units.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use sequoiacrank_kernel::edge::budget;
+use sequoiacrank_kernel::edge::exit;
 use sequoiacrank_kernel::edge::members::shares;
 use sequoiacrank_kernel::edge::pace;
 use sequoiacrank_kernel::edge::records;
@@ -126,6 +127,18 @@
     assert_eq!((all.get("a"), all.end()), (Some(&2), 5));
 }
 
+/// A process that is leaving takes only what ends before the process does.
+#[test]
+fn exit_bounds_deadlines() {
+    let serving = exit::Exit::default();
+    assert!(serving.allows(site::ms(1_000_000)) && !serving.is_due(site::ms(1_000_000)));
+    let leaving = exit::Exit::plan(site::ms(1000), site::ms(8000));
+    for (at, ends) in [(1000, true), (8000, true), (8520, true), (8521, false), (9000, false)] {
+        assert_eq!(leaving.allows(site::ms(at)), ends, "{at}");
+    }
+    assert!(!leaving.is_due(site::ms(8500)) && leaving.is_due(site::ms(8520)));
+}
+
 /// The rate holds in each second, wherever it begins, and is mostly used.
 #[test]
 fn pace_bounds_any_second() {
