Admission in parts: match the head, receive the body, refuse in one place

No change of what callers see, but one: the log line of a request that is malformed names its attempt if it has one.

--- a/sequoiacrank-edge/src/exchange/admission.rs
+++ b/sequoiacrank-edge/src/exchange/admission.rs
@@ -83,6 +83,50 @@
     }
 }
 
+/// A request that was read and may be served.
+struct Received {
+    head: ingress::Head,
+    matched: Matched,
+    body: Bytes,
+    deadline: id::Time,
+    identity: crash::Request,
+}
+
+/// Reads a request that `began` to arrive at a time, and checks whether it may be served.
+///
+/// # Errors
+///
+/// As for [`admit`].
+async fn receive(
+    host: &host::Host,
+    parts: &http::request::Parts,
+    body: &mut body::Incoming,
+    began: id::Time,
+) -> Result<Received, refusal::Refusal> {
+    let head = ingress::Head::decode(parts);
+    let head = head.map_err(|_| refusal::Refusal::new(code::Code::BadRequest))?;
+    let matched = match_head(host, &head)?;
+    let read = front::read_body(body, matched.catalog.limits.body_bytes);
+    let body = match tokio::time::timeout(BODY_TIMEOUT, read).await {
+        Ok(Ok(Some(body))) => body,
+        Ok(Ok(None)) => return Err(refusal::Refusal::new(code::Code::TooLarge)),
+        // The caller disconnected or is too slow; nothing was sent to an endpoint.
+        Ok(Err(_)) | Err(_) => return Err(refusal::Refusal::new(code::Code::BodyLate)),
+    };
+    let timeout = matched.route.timeout;
+    let deadline = began + head.budget.map_or(timeout, |budget| budget.min(timeout));
+    // Checked once the body has arrived, which may be long after the head.
+    if !host.stop.allows(deadline) {
+        return Err(refusal::Refusal::leaving());
+    }
+    let fingerprint = fingerprint(parts, head.key.as_deref(), &body);
+    let identity = crash::Request::new(fingerprint, &head.prompt_parts);
+    if suspect::is_suspect(host, &head.attempt, &identity) {
+        return Err(refusal::Refusal::new(code::Code::Suspect));
+    }
+    Ok(Received { head, matched, body, deadline, identity })
+}
+
 /// Reads a request and matches it to a route, a workspace and a service.
 ///
 /// # Errors
@@ -96,48 +140,21 @@
 ) -> Result<exchange::Exchange, refusal::Refusal> {
     let began = host.clock.now();
     let active = stop::Stop::begin_request(host);
-    let refuse = |refusal: refusal::Refusal, id: &str| {
-        let number = refusal.code.number();
-        host.metrics.requests.with_label_values(&["", &number.to_string()]).inc();
-        log::warn!(target: "request", id, code = number, path = parts.uri.path(); "refused");
-        refusal
-    };
-    let Ok(head) = ingress::Head::decode(&parts) else {
-        discard(host, &parts, &mut body).await;
-        return Err(refuse(refusal::Refusal::new(code::Code::BadRequest), ""));
-    };
-    let id = head.attempt.clone();
-    let Matched { catalog, route, workspace, service } = match match_head(host, &head) {
-        Ok(matched) => matched,
+    let received = match receive(host, &parts, &mut body, began).await {
+        Ok(received) => received,
         Err(refusal) => {
-            discard(host, &parts, &mut body).await;
-            return Err(refuse(refusal, &id));
-        }
-    };
-    let max_bytes = catalog.limits.body_bytes;
-    let result = tokio::time::timeout(BODY_TIMEOUT, front::read_body(&mut body, max_bytes)).await;
-    let body = match result {
-        Ok(Ok(Some(body))) => body,
-        Ok(Ok(None)) => {
-            discard(host, &parts, &mut body).await;
-            return Err(refuse(refusal::Refusal::new(code::Code::TooLarge), &id));
-        }
-        // The caller disconnected or is too slow; nothing was sent to an endpoint.
-        Ok(Err(_)) | Err(_) => {
-            return Err(refuse(refusal::Refusal::new(code::Code::BodyLate), &id));
+            if refusal.code != code::Code::BodyLate {
+                discard(host, &parts, &mut body).await;
+            }
+            let number = refusal.code.number();
+            host.metrics.requests.with_label_values(&["", &number.to_string()]).inc();
+            let id = ingress::attempt(&parts.headers).unwrap_or_default();
+            log::warn!(target: "request", id, code = number, path = parts.uri.path(); "refused");
+            return Err(refusal);
         }
     };
-    let budget = head.budget.map_or(route.timeout, |budget| budget.min(route.timeout));
-    let deadline = began + budget;
-    // Checked once the body has arrived, which may be long after the head.
-    if !host.stop.allows(deadline) {
-        return Err(refuse(refusal::Refusal::leaving(), &id));
-    }
-    let fingerprint = fingerprint(&parts, head.key.as_deref(), &body);
-    let identity = crash::Request::new(fingerprint, &head.prompt_parts);
-    if suspect::is_suspect(host, &id, &identity) {
-        return Err(refuse(refusal::Refusal::new(code::Code::Suspect), &id));
-    }
+    let Received { head, matched, body, deadline, identity } = received;
+    let Matched { catalog, route, workspace, service } = matched;
     let session = {
         let mut facts = host.facts.borrow_mut();
         let budget = facts.budgets.entry(service.clone()).or_default();
