--- a/sequoiacrank-kernel/tests/edge/main.rs
+++ b/sequoiacrank-kernel/tests/edge/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions on the event-loop data path.
 
 mod crash;
+mod duties;
 mod fleet;
 mod members;
 mod mesh;
