--- a/sequoiacrank-config/src/edge.rs
+++ b/sequoiacrank-config/src/edge.rs
@@ -3,6 +3,7 @@
 use std::net;
 use std::time;
 
+use sequoiacrank_kernel::code;
 use sequoiacrank_kernel::edge::budget;
 use sequoiacrank_kernel::edge::moves;
 
@@ -39,10 +40,37 @@
     pub cold: ColdBound,
     /// Bound on requests to a version that a move has not yet proven, over all hosts.
     pub moves: moves::Bound,
+    /// Calls to the platform that one host makes for all; `None` if the platform has no such calls.
+    pub platform_api: Option<PlatformApi>,
+    /// Memory of the machine in megabytes, if known.
+    pub memory: Option<u32>,
+    /// Number of file descriptors that the process may have open, if known.
+    pub descriptors: Option<u32>,
     /// Which lines are logged.
     pub log: Log,
 }
 
+/// Calls to the platform's API that one host makes for all hosts.
+#[derive(Clone, Debug, PartialEq)]
+pub struct PlatformApi {
+    /// Address of the API.
+    pub address: net::SocketAddr,
+    /// Names of the duties that the deployment asks for.
+    pub duties: Vec<String>,
+    /// Calls per second that the API accepts from all hosts together.
+    pub rate: f64,
+    /// Whether the API rejects calls with an outdated fencing token.
+    pub fenced: bool,
+    /// Time for which a host holds the duties without renewing its lease.
+    pub lease: time::Duration,
+    /// Length of a usage window; zero if usage is not reported.
+    pub window: time::Duration,
+    /// Time after the end of a usage window within which its report is due.
+    pub late: time::Duration,
+    /// Number of availability zones that may be lost at the same time.
+    pub zones_lost: u32,
+}
+
 /// Which lines are logged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Log {
@@ -141,6 +169,72 @@
     }
 }
 
+/// Name of the duty that reports usage.
+pub const USAGE_DUTY: &str = "usage_report";
+/// Name of the duty that sets the number of endpoints.
+pub const SCALING_DUTY: &str = "autoscale";
+
+impl read::Decode for PlatformApi {
+    fn decode(node: &tree::Node, sink: &mut read::Sink) -> Option<Self> {
+        let zero = || DecimalTime(time::Duration::ZERO);
+        let mut fields = read::Reader::new(node, sink)?;
+        let address = fields.required("address");
+        let duties = fields.required::<Vec<String>>("duties");
+        let rate = fields.required::<f64>("rate");
+        let fenced = fields.with_default("fenced", false);
+        let lease = fields.required::<DecimalTime>("lease");
+        let window = fields.with_default("window", zero());
+        let late = fields.with_default("late", zero());
+        let zones_lost = fields.with_default("zones_lost", 0);
+        fields.finish();
+        let api = PlatformApi {
+            address: address?,
+            duties: duties?,
+            rate: rate?,
+            fenced: fenced?,
+            lease: lease?.0,
+            window: window?.0,
+            late: late?.0,
+            zones_lost: zones_lost?,
+        };
+        match api.contradiction() {
+            Some(detail) => {
+                sink.add(code::Code::OutOfRange, &node.location, &node.path, detail);
+                None
+            }
+            None => Some(api),
+        }
+    }
+}
+
+impl PlatformApi {
+    /// Whether the deployment asks for a duty.
+    pub fn has_duty(&self, name: &str) -> bool {
+        self.duties.iter().any(|it| it == name)
+    }
+
+    /// Describes the first pair of settings that contradict each other.
+    fn contradiction(&self) -> Option<String> {
+        let reports = self.has_duty(USAGE_DUTY);
+        match () {
+            () if self.lease.is_zero() => Some("`lease` is zero, so no duty can be held".into()),
+            () if self.rate <= 0.0 && !self.duties.is_empty() => {
+                Some("`rate` is not above zero although `duties` names some".into())
+            }
+            () if reports && self.window.is_zero() => {
+                Some(format!("`duties` names {USAGE_DUTY:?} but `window` is zero"))
+            }
+            () if reports && self.late.is_zero() => {
+                Some(format!("`duties` names {USAGE_DUTY:?} but `late` is zero"))
+            }
+            () if reports && self.lease * 2 > self.late => {
+                Some("`lease` is over half of `late`, so a takeover would end too late".into())
+            }
+            () => None,
+        }
+    }
+}
+
 impl read::Decode for Settings {
     fn decode(node: &tree::Node, sink: &mut read::Sink) -> Option<Self> {
         let mut fields = read::Reader::new(node, sink)?;
@@ -157,6 +251,9 @@
         let retries = fields.required("retries");
         let cold = fields.required("cold");
         let moves = fields.with_default("moves", DEFAULT_MOVE_BOUND);
+        let platform_api = fields.optional("platform_api");
+        let memory = fields.optional("memory");
+        let descriptors = fields.optional("descriptors");
         let log = fields.with_default("log", Log::default());
         fields.finish();
         Some(Settings {
@@ -173,6 +270,9 @@
             retries: retries?,
             cold: cold?,
             moves: moves?,
+            platform_api: platform_api?,
+            memory: memory?,
+            descriptors: descriptors?,
             log: log?,
         })
     }
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -23,6 +23,7 @@
 use crate::batcher;
 use crate::client;
 use crate::clock;
+use crate::duties;
 use crate::facts;
 use crate::front;
 use crate::metrics;
@@ -101,6 +102,8 @@
     pub grants: notices::Grants,
     /// Membership and connections to other hosts.
     pub peers: peer::Peers,
+    /// Duties that one host performs for all.
+    pub duties: duties::Duties,
     /// Metrics of this host.
     pub metrics: metrics::Metrics,
     /// State of a planned stop.
@@ -133,6 +136,7 @@
             pending_jobs: stages::PendingJobs::default(),
             grants: notices::Grants::default(),
             peers: peer::Peers::new(own),
+            duties: duties::Duties::default(),
             metrics: metrics::Metrics::new(),
             stop: stop::Stop::default(),
             without_store: cell::Cell::new(false),
@@ -354,6 +358,7 @@
     task::spawn_local(store::discover_hosts(host.clone()));
     task::spawn_local(heartbeats(host.clone()));
     task::spawn_local(crate::moves::follow(host.clone()));
+    task::spawn_local(duties::follow(host.clone()));
     task::spawn_local(batcher::poll_schedulers(host.clone()));
     task::spawn_local(housekeeping(host.clone()));
     stop::wait(&host).await.map_err(|err| Error::Io("signals", err))?;
--- a/sequoiacrank-edge/src/lib.rs
+++ b/sequoiacrank-edge/src/lib.rs
@@ -10,6 +10,7 @@
 mod body;
 mod client;
 mod clock;
+mod duties;
 mod exchange;
 mod facts;
 mod front;
--- a/sequoiacrank-edge/src/peer/mod.rs
+++ b/sequoiacrank-edge/src/peer/mod.rs
@@ -25,6 +25,7 @@
 use tokio::task;
 
 use crate::client;
+use crate::duties;
 use crate::host;
 use crate::notices;
 
@@ -129,6 +130,7 @@
                 without_store: host.without_store.get(),
                 crashes: facts.crashes.report(now),
                 parts: facts.crashes.parts.report(now),
+                duty: host.duties.token(),
             }
         };
         self.members.borrow_mut().set_state(state);
@@ -371,6 +373,8 @@
         Some(wire::Body::Limit(limit)) => notices::receive_limit(host, address, limit),
         Some(wire::Body::Acquire(acquire)) => notices::receive_acquire(host, address, acquire),
         Some(wire::Body::Granted(granted)) => host.grants.receive_granted(&granted),
+        Some(wire::Body::Usage(usage)) => duties::receive_usage(host, sender, &usage),
+        Some(wire::Body::Timing(timing)) => duties::receive_timing(host, sender, &timing),
         Some(wire::Body::Unknown(ticket)) => host.pending_jobs.receive_unknown(ticket.ticket),
         Some(wire::Body::Statements(_)) | None => {}
     }
--- a/sequoiacrank-edge/src/peer/wire/mod.rs
+++ b/sequoiacrank-edge/src/peer/wire/mod.rs
@@ -1,5 +1,6 @@
 //! Messages between hosts: protocol buffers, each after its length in four bytes, big-endian.
 
+pub mod duties;
 pub mod limits;
 pub mod moves;
 pub mod statement;
@@ -52,7 +53,10 @@
     #[prost(fixed64, tag = "11")]
     pub process: u64,
     /// Content of the message.
-    #[prost(oneof = "Body", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 12, 13, 14, 15, 16, 17, 18, 19")]
+    #[prost(
+        oneof = "Body",
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+    )]
     pub body: Option<Body>,
 }
 
@@ -110,6 +114,12 @@
     /// Grants the request, or says when to ask again.
     #[prost(message, tag = "19")]
     Granted(limits::Granted),
+    /// Reports usage and demand to the holder of the duties.
+    #[prost(message, tag = "20")]
+    Usage(duties::Usage),
+    /// Answers [`Body::Usage`].
+    #[prost(message, tag = "21")]
+    Timing(duties::Timing),
 }
 
 /// Heartbeat of a host.
--- a/sequoiacrank-edge/src/peer/wire/statement.rs
+++ b/sequoiacrank-edge/src/peer/wire/statement.rs
@@ -39,6 +39,9 @@
     /// Parts of prompts on which endpoints crashed, or that were served.
     #[prost(message, repeated, tag = "10")]
     pub parts: Vec<Part>,
+    /// Fencing token of the duties that the host holds; 0 if it holds none.
+    #[prost(uint64, tag = "11")]
+    pub duty: u64,
 }
 
 /// A part of a prompt on which endpoints crashed, or that was served.
@@ -108,6 +111,7 @@
             hears: own.hears,
             crashes: own.crashes.into_iter().map(Crash::from).collect(),
             parts: own.parts.into_iter().map(Part::from).collect(),
+            duty: own.duty,
         }
     }
 }
@@ -127,6 +131,7 @@
             hears: wire.hears,
             crashes: wire.crashes.into_iter().map(crash::Report::from).collect(),
             parts: wire.parts.into_iter().map(parts::Report::from).collect(),
+            duty: wire.duty,
         })
     }
 }
--- a/sequoiacrank-kernel/src/edge.rs
+++ b/sequoiacrank-kernel/src/edge.rs
@@ -3,6 +3,7 @@
 pub mod budget;
 pub mod catalog;
 pub mod crash;
+pub mod duty;
 pub mod endpoint;
 pub mod exit;
 pub mod fleet;
--- a/sequoiacrank-kernel/src/edge/catalog.rs
+++ b/sequoiacrank-kernel/src/edge/catalog.rs
@@ -112,6 +112,19 @@
     pub cold_rate: f64,
     /// How calls are batched; set only for services that run stages.
     pub batch: Option<Batch>,
+    /// Bounds on the number of endpoints; set only if hosts choose it.
+    pub scaling: Option<Scaling>,
+}
+
+/// Bounds on the number of endpoints of a service in each availability zone.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Scaling {
+    /// Smallest number in a zone.
+    pub min: u32,
+    /// Largest number in a zone.
+    pub max: u32,
+    /// Time after which an endpoint that was ordered serves.
+    pub boot: time::Duration,
 }
 
 /// How the endpoints of a service run stage work, in calls of several pieces.
--- /dev/null
+++ b/sequoiacrank-kernel/src/edge/duty/lease.rs
@@ -0,0 +1,1 @@
+//! The lease of the host that performs duties for all.
--- /dev/null
+++ b/sequoiacrank-kernel/src/edge/duty/scaling.rs
@@ -0,0 +1,1 @@
+//! How many endpoints a service needs in each availability zone.
--- /dev/null
+++ b/sequoiacrank-kernel/src/edge/duty/true_time.rs
@@ -0,0 +1,1 @@
+//! The true time of day, estimated from the clocks of all hosts.
--- /dev/null
+++ b/sequoiacrank-kernel/src/edge/duty/usage.rs
@@ -0,0 +1,1 @@
+//! Requests of each workspace by usage window.
--- a/sequoiacrank-kernel/src/edge/members.rs
+++ b/sequoiacrank-kernel/src/edge/members.rs
@@ -346,6 +346,11 @@
         self.members.iter().filter(|(_, it)| it.alive).map(|(&it, _)| it).collect()
     }
 
+    /// The newest statements of the other hosts that are alive.
+    fn statements_alive(&self) -> impl Iterator<Item = &statement::Statement> {
+        self.members.values().filter(|it| it.alive).filter_map(|it| it.statement.as_ref())
+    }
+
     /// The other hosts that may perform duties for all. Hosts that agree on which hosts are alive
     /// have the same ones.
     pub fn candidates(&self) -> impl Iterator<Item = Candidate> {
--- a/sequoiacrank-kernel/src/edge/members/duty.rs
+++ b/sequoiacrank-kernel/src/edge/members/duty.rs
@@ -68,6 +68,14 @@
         self.candidates().filter(|other| order("", other) < own).count()
     }
 
+    /// The host that holds the duties for all, and its fencing token: of those alive, the one with
+    /// the highest token. `None` if none holds them.
+    pub fn duty_holder(&self) -> Option<(net::SocketAddr, u64)> {
+        let others = self.statements_alive().map(|it| (it.host, it.duty));
+        let all = others.chain([(self.own.host, self.own.duty)]);
+        all.filter(|&(_, token)| token > 0).max_by_key(|&(_, token)| token)
+    }
+
     /// The first `count` hosts in the order of [`Self::store_position`], without this one.
     pub fn first_hosts(&self, count: usize) -> Vec<net::SocketAddr> {
         let own = self.own_candidate();
--- a/sequoiacrank-kernel/src/edge/members/statement.rs
+++ b/sequoiacrank-kernel/src/edge/members/statement.rs
@@ -4,6 +4,7 @@
 
 use crate::edge::crash;
 use crate::edge::crash::parts;
+use crate::edge::duty;
 use crate::id;
 
 /// Short form of an [`id::Incarnation`], half as long. It tells apart processes that run at the
@@ -35,6 +36,8 @@
     pub crashes: Vec<crash::Report>,
     /// Endpoints that crashed on its calls, by part of a prompt, and parts that it served.
     pub parts: Vec<parts::Report>,
+    /// Fencing token of the duties that the host holds; 0 if it holds none.
+    pub duty: duty::Token,
 }
 
 /// The state of a host that it publishes.
@@ -48,17 +51,20 @@
     pub crashes: Vec<crash::Report>,
     /// Endpoints that crashed on its calls, by part of a prompt, and parts that it served.
     pub parts: Vec<parts::Report>,
+    /// Fencing token of the duties that the host holds; 0 if it holds none.
+    pub duty: duty::Token,
 }
 
 impl Statement {
     /// Replaces the state. Returns whether it has changed.
     pub fn set_state(&mut self, state: State) -> bool {
-        let State { leaving, without_store, crashes, parts } = state;
+        let State { leaving, without_store, crashes, parts, duty } = state;
         let next = Statement {
             leaving,
             without_store,
             crashes,
             parts,
+            duty,
             hears: self.hears.clone(),
             ..*self
         };
@@ -80,6 +86,7 @@
             hears: Vec::new(),
             crashes: Vec::new(),
             parts: Vec::new(),
+            duty: 0,
         }
     }
 
--- a/sequoiacrank-kernel/tests/edge/site.rs
+++ b/sequoiacrank-kernel/tests/edge/site.rs
@@ -166,6 +166,7 @@
             piece_time: it.piece_time,
             memory: it.memory,
         }),
+        scaling: None,
     };
     let services = world.services.iter().map(service).collect();
     let limits = catalog::Limits {
