--- a/sequoiacrank-edge/src/duties/mod.rs
+++ b/sequoiacrank-edge/src/duties/mod.rs
@@ -1,44 +1,79 @@
 //! Duties that one host performs for all: the lease, usage reports and orders for the number of
 //! endpoints. Nothing here runs unless the settings name the platform's API.
 
+pub mod api;
+mod scaling;
+pub mod usage;
+
 use std::cell;
 use std::rc;
 
+use sequoiacrank_config::edge;
 use sequoiacrank_kernel::edge::duty;
+use sequoiacrank_kernel::edge::duty::lease;
+use sequoiacrank_kernel::id;
+use tokio::task;
 
 use crate::host;
 use crate::peer;
 use crate::peer::wire;
 
 /// State of the duties on this host.
-#[derive(Default)]
 pub struct Duties {
-    /// Fencing token of the lease while this host holds it, else 0.
-    token: cell::Cell<duty::Token>,
+    /// The lease; `None` if the settings name no API.
+    pub lease: Option<cell::RefCell<lease::Lease>>,
+    /// Requests counted by this host, and reports of all hosts while it holds the lease.
+    pub usage: usage::Usage,
+    /// Reports of demand while this host holds the lease.
+    scaling: scaling::Scaling,
 }
 
 impl Duties {
-    /// Fencing token that this host publishes; 0 if it does not hold the duties.
+    /// The state at the start of the process `process`.
+    pub fn new(settings: &edge::Settings, process: id::Incarnation) -> Self {
+        let own = lease::Owner { host: settings.host.clone(), address: settings.peer, process };
+        let lease = settings.platform_api.as_ref().map(|api| lease::Lease::new(own, api.lease));
+        Duties {
+            lease: lease.map(cell::RefCell::new),
+            usage: usage::Usage::default(),
+            scaling: scaling::Scaling::default(),
+        }
+    }
+
+    /// Fencing token with which this host may act now; 0 if it does not hold the duties.
     pub fn token(&self) -> duty::Token {
-        self.token.get()
+        let lease = self.lease.as_ref().map(cell::RefCell::borrow);
+        lease.and_then(|lease| lease.token(steady_now())).unwrap_or_default()
     }
 }
 
+/// Time of the steady clock, which counts the time of a suspension.
+pub fn steady_now() -> id::Time {
+    // Never negative: the clock counts from the start of the system.
+    let now = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+    id::Time::new(now.tv_sec.unsigned_abs(), now.tv_nsec as u32)
+}
+
 /// Performs the duties for as long as the host runs, while it holds the lease.
-pub async fn follow(_host: rc::Rc<host::Host>) {}
+pub async fn follow(host: rc::Rc<host::Host>) {
+    if host.duties.lease.is_none() {
+        return;
+    }
+    task::spawn_local(usage::follow(host.clone()));
+    task::spawn_local(scaling::follow(host));
+}
 
 /// Handles the message `Usage`: the report of another host.
-pub fn receive_usage(
-    _host: &rc::Rc<host::Host>,
-    _from: peer::Sender,
-    _usage: &wire::duties::Usage,
-) {
+pub fn receive_usage(host: &rc::Rc<host::Host>, from: peer::Sender, report: &wire::duties::Usage) {
+    usage::receive(host, from, report);
+    scaling::receive(host, from, &report.demand);
 }
 
 /// Handles the message `Timing`: the answer of the holder.
 pub fn receive_timing(
-    _host: &rc::Rc<host::Host>,
-    _from: peer::Sender,
-    _timing: &wire::duties::Timing,
+    host: &rc::Rc<host::Host>,
+    from: peer::Sender,
+    timing: &wire::duties::Timing,
 ) {
+    usage::receive_timing(host, from, timing);
 }
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -136,7 +136,7 @@
             pending_jobs: stages::PendingJobs::default(),
             grants: notices::Grants::default(),
             peers: peer::Peers::new(own),
-            duties: duties::Duties::default(),
+            duties: duties::Duties::new(&settings, process),
             metrics: metrics::Metrics::new(),
             stop: stop::Stop::default(),
             without_store: cell::Cell::new(false),
