Duties: lease, its task and calls to the platform

Callers see no change. Operators see log lines of target duties and the metrics duty_held, duty_token and duty_calls_total.

The lease is a pure state machine: it decides when to read the record, what to append at which end, and when acting is allowed. A task carries this out and publishes the token. Calls use half of the rate, check the token right before the send, and pause after failures.

Not measured yet; tests follow.

--- a/sequoiacrank-edge/src/duties/mod.rs
+++ b/sequoiacrank-edge/src/duties/mod.rs
@@ -2,6 +2,8 @@
 //! endpoints. Nothing here runs unless the settings name the platform's API.
 
 pub mod api;
+mod holder;
+mod record;
 mod scaling;
 pub mod usage;
 
@@ -12,6 +14,7 @@
 use sequoiacrank_kernel::edge::duty;
 use sequoiacrank_kernel::edge::duty::lease;
 use sequoiacrank_kernel::id;
+use tokio::sync;
 use tokio::task;
 
 use crate::host;
@@ -22,6 +25,10 @@
 pub struct Duties {
     /// The lease; `None` if the settings name no API.
     pub lease: Option<cell::RefCell<lease::Lease>>,
+    /// Rate and failures of calls to the API.
+    pub api: api::Api,
+    /// Wakes the task of the lease after a call changed its state.
+    changed: sync::Notify,
     /// Requests counted by this host, and reports of all hosts while it holds the lease.
     pub usage: usage::Usage,
     /// Reports of demand while this host holds the lease.
@@ -35,6 +42,8 @@
         let lease = settings.platform_api.as_ref().map(|api| lease::Lease::new(own, api.lease));
         Duties {
             lease: lease.map(cell::RefCell::new),
+            api: api::Api::default(),
+            changed: sync::Notify::new(),
             usage: usage::Usage::default(),
             scaling: scaling::Scaling::default(),
         }
@@ -56,9 +65,15 @@
 
 /// Performs the duties for as long as the host runs, while it holds the lease.
 pub async fn follow(host: rc::Rc<host::Host>) {
-    if host.duties.lease.is_none() {
+    let Some(settings) = &host.settings.platform_api else { return };
+    let known = [edge::USAGE_DUTY, edge::SCALING_DUTY];
+    for name in settings.duties.iter().filter(|name| !known.contains(&name.as_str())) {
+        log::warn!(target: "duties", name = name.as_str(); "unknown duty ignored");
+    }
+    if !known.iter().any(|name| settings.has_duty(name)) {
         return;
     }
+    task::spawn_local(holder::follow(host.clone()));
     task::spawn_local(usage::follow(host.clone()));
     task::spawn_local(scaling::follow(host));
 }
--- a/sequoiacrank-edge/src/front.rs
+++ b/sequoiacrank-edge/src/front.rs
@@ -172,7 +172,7 @@
 
 /// Serves the metrics page.
 pub async fn metrics(host: rc::Rc<host::Host>, listener: TcpListener) {
-    serve_pages(listener, move |_| match host.metrics.text(host.pool.opened()) {
+    serve_pages(listener, move |_| match host.metrics.text(host.pool.opened(), host.duties.token()) {
         Ok(text) => plain_answer(http::StatusCode::OK, text),
         Err(err) => {
             log::error!(target: "front", err = err.to_string().as_str(); "metrics cannot be encoded");
--- a/sequoiacrank-edge/src/metrics.rs
+++ b/sequoiacrank-edge/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of a host in the Prometheus format.
 
 use prometheus::Encoder as _;
+use sequoiacrank_kernel::edge::duty;
 
 /// Upper bounds of the latency histogram's buckets in seconds. They lie around the target latencies
 /// of plain requests and of the first events of streams.
@@ -32,6 +33,10 @@
     pub store_calls: prometheus::IntCounter,
     /// Number of the store's records sent to other hosts, counted once for each receiver.
     pub records_told: prometheus::IntCounter,
+    /// Calls to the platform's API, by call and outcome.
+    pub duty_calls: prometheus::IntCounterVec,
+    duty_held: prometheus::IntGauge,
+    duty_token: prometheus::IntGauge,
     dropped: prometheus::IntGauge,
     opened: prometheus::IntGauge,
 }
@@ -98,6 +103,12 @@
                 &registry,
                 counter("records_told_total", "Records of the store told to other hosts"),
             ),
+            duty_calls: register(
+                &registry,
+                counters("duty_calls_total", "Calls to the platform's API", &["call", "outcome"]),
+            ),
+            duty_held: register(&registry, gauge("duty_held", "Whether this host may act for all")),
+            duty_token: register(&registry, gauge("duty_token", "Fencing token, 0 without one")),
             dropped: register(
                 &registry,
                 gauge("log_lines_dropped", "Log lines left out since the start"),
@@ -111,14 +122,16 @@
     }
 
     /// All metrics in the text format. `opened` is the number of connections opened since the
-    /// start.
+    /// start, `token` the fencing token with which this host may act now, or 0.
     ///
     /// # Errors
     ///
     /// When a metric can't be encoded.
-    pub fn text(&self, opened: u64) -> prometheus::Result<Vec<u8>> {
+    pub fn text(&self, opened: u64, token: duty::Token) -> prometheus::Result<Vec<u8>> {
         self.dropped.set(i64::try_from(crate::logs::dropped()).unwrap_or(i64::MAX));
         self.opened.set(i64::try_from(opened).unwrap_or(i64::MAX));
+        self.duty_held.set(i64::from(token > 0));
+        self.duty_token.set(i64::try_from(token).unwrap_or(i64::MAX));
         let mut text = Vec::new();
         prometheus::TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
         Ok(text)
--- a/sequoiacrank-kernel/src/edge/duty.rs
+++ b/sequoiacrank-kernel/src/edge/duty.rs
@@ -24,7 +24,7 @@
 pub type Counts = collections::BTreeMap<id::WorkspaceId, u64>;
 
 /// The lease of the holder and the state of its duties.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Record {
     /// Name of the holder.
     pub host: String,
@@ -45,7 +45,7 @@
 }
 
 /// The state of the duties, which passes from one holder to the next.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Content {
     /// Usage windows whose counts are final.
     pub usage: collections::BTreeMap<WindowId, Window>,
@@ -55,7 +55,7 @@
 
 /// The final counts of a usage window. They are recorded before they are reported, so that no two
 /// holders report different counts.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct Window {
     /// Requests of each workspace.
     pub counts: Counts,
