Lease: searches of short and long histories, with an oracle

Two and three hosts with delayed, lost and repeated appends, slow reads, restarts, stops, false beliefs about each other and 409. The oracle checks tokens, that one host acts at a time, and A, B, A; after the faults a host acts within three leases.

--- a/sequoiacrank-kernel/src/edge/duty/lease.rs
+++ b/sequoiacrank-kernel/src/edge/duty/lease.rs
@@ -88,7 +88,7 @@
 }
 
 /// Result of an append.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Written {
     /// The record was appended; the topic ends at this offset.
     Done(id::Offset),
--- a/sequoiacrank-kernel/tests/edge/main.rs
+++ b/sequoiacrank-kernel/tests/edge/main.rs
@@ -3,6 +3,7 @@
 mod crash;
 mod duties;
 mod fleet;
+mod lease;
 mod members;
 mod mesh;
 mod moves;
