--- a/sequoiacrank-edge/src/duties/api.rs
+++ b/sequoiacrank-edge/src/duties/api.rs
@@ -84,11 +84,6 @@
         }
     }
 
-    /// Whether the call may have been carried out, or may yet be.
-    pub fn is_unknown(&self) -> bool {
-        matches!(self, Error::Unknown(_) | Error::Odd(_))
-    }
-
     /// Name of the outcome in metrics.
     fn outcome(&self) -> &'static str {
         match self {
@@ -221,8 +216,10 @@
     let sent = duties::steady_now();
     let exchange = async {
         let (head, body) = connection.send(request).await?.into_parts();
-        // A status counts although its body may be lost.
-        let _ = client::read_body(body).await;
+        if let Err(err) = client::read_body(body).await {
+            // The status counts nevertheless.
+            log::debug!(target: "duties", err = err.to_string().as_str(); "body of an answer lost");
+        }
         Ok::<_, client::Error>(head.status)
     };
     let status = match tokio::time::timeout(CALL_TIMEOUT, exchange).await {
--- a/sequoiacrank-kernel/tests/edge/lease.rs
+++ b/sequoiacrank-kernel/tests/edge/lease.rs
@@ -1,6 +1,6 @@
 //! The lease of the holder under delayed, lost and repeated appends, pauses, restarts and outages.
 
-#[path = "lease/world.rs"]
+mod rules;
 mod world;
 
 use rand::RngExt as _;
