--- a/sequoiacrank-config/tests/edge.rs
+++ b/sequoiacrank-config/tests/edge.rs
@@ -5,8 +5,11 @@
 use sequoiacrank_config::edge;
 use sequoiacrank_kernel::code;
 
+/// Fields of `platform_api` with their values.
+type Fields<'a> = &'a [(&'a str, serde_json::Value)];
+
 /// Settings with these fields of `platform_api` replaced.
-fn parse(replaced: &[(&str, serde_json::Value)]) -> Result<edge::Settings, String> {
+fn parse(replaced: Fields<'_>) -> Result<edge::Settings, String> {
     let mut api = serde_json::json!({
         "address": "127.0.0.1:8188", "duties": ["usage_report", "autoscale"], "rate": 50.0,
         "fenced": true, "lease": "3000ms", "window": "5s", "late": "10s", "zones_lost": 1,
@@ -40,7 +43,7 @@
 /// an error that does not name the settings at fault.
 #[test]
 fn contradictions() {
-    let cases: [(&[(&str, serde_json::Value)], &[&str]); 5] = [
+    let cases: [(Fields<'_>, &[&str]); 5] = [
         (&[("window", "0s".into())], &["usage_report", "window"]),
         (&[("late", "0s".into())], &["usage_report", "late"]),
         (&[("lease", "0s".into())], &["lease"]),
