Kernel: true time and usage windows

A host counts requests by usage window and reports absolute counts; the holder of the duties adds them up, makes windows final, and says which to report and when to retry. The true time is the median over the clocks of all hosts. The delay of a report is bounded by the shortest one seen, and a step of the median counts only after 5 s, since 45% of the clocks may jump while as many others are being set right (seen in jumps_of_many_clocks: 1.8 s off without it).

Requests that are counted before the true time is known are kept by steady time. A clock that is wrong at the start of the deployment would otherwise put the first window into the past, and each window since then would be reported.

Overdue windows wait for 1.5 s of reports to a new holder. Otherwise a takeover after an outage of the store makes windows final without the counts of any other host.

Measured: tests edge usage, true_time, usage_holders (17) pass in release mode. Trials on scratch changes that each fail a test: counts of a window replaced in the record; reports before the store acknowledged; no largest count; no wait of a new holder.

--- a/sequoiacrank-kernel/tests/edge/main.rs
+++ b/sequoiacrank-kernel/tests/edge/main.rs
@@ -12,4 +12,7 @@
 mod sequence;
 mod site;
 mod stage_load;
+mod true_time;
 mod units;
+mod usage;
+mod usage_holders;
