Hosts count requests by usage window and report them

A stream counts at its first event that is no comment. Any other request counts at the time of the send that ran or may have run. A refused send does not count.

Nothing is counted unless the settings ask for usage reports.

--- a/sequoiacrank-edge/src/duties/mod.rs
+++ b/sequoiacrank-edge/src/duties/mod.rs
@@ -35,7 +35,7 @@
         let lease = settings.platform_api.as_ref().map(|api| lease::Lease::new(own, api.lease));
         Duties {
             lease: lease.map(cell::RefCell::new),
-            usage: usage::Usage::default(),
+            usage: usage::Usage::new(settings.platform_api.as_ref()),
             scaling: scaling::Scaling::default(),
         }
     }
--- a/sequoiacrank-edge/src/exchange/admission.rs
+++ b/sequoiacrank-edge/src/exchange/admission.rs
@@ -16,6 +16,7 @@
 use sequoiacrank_kernel::id;
 use tokio::sync::watch;
 
+use crate::duties::usage::attempt;
 use crate::exchange;
 use crate::exchange::suspect;
 use crate::front;
@@ -164,6 +165,7 @@
             .then(|| facts.sessions.key(&route.name, &head.prompt_parts))
             .flatten()
     };
+    let usage = attempt::Attempt::begin(host, workspace.as_ref());
     Ok(exchange::Exchange {
         host: host.clone(),
         forwarded: call::forwarded_headers(&parts.headers),
@@ -188,6 +190,7 @@
         sends: watch::Sender::new(0),
         form: cell::OnceCell::new(),
         maybe_ran: cell::Cell::new(false),
+        usage,
         _active: active,
     })
 }
--- a/sequoiacrank-edge/src/exchange/mod.rs
+++ b/sequoiacrank-edge/src/exchange/mod.rs
@@ -30,6 +30,7 @@
 
 use crate::body::Body;
 use crate::client;
+use crate::duties::usage::attempt;
 use crate::front;
 use crate::host;
 use crate::in_flight;
@@ -88,6 +89,8 @@
     form: cell::OnceCell<call::Form>,
     /// Whether an endpoint may have run it.
     maybe_ran: cell::Cell<bool>,
+    /// Whether it is counted in a usage window; `None` if requests are not counted.
+    pub(crate) usage: Option<rc::Rc<attempt::Attempt>>,
     _active: stop::ActiveRequest,
 }
 
--- a/sequoiacrank-edge/src/exchange/send.rs
+++ b/sequoiacrank-edge/src/exchange/send.rs
@@ -13,6 +13,7 @@
 
 use crate::client;
 use crate::clock;
+use crate::duties::usage::attempt;
 use crate::exchange;
 use crate::exchange::handover;
 use crate::exchange::repeat;
@@ -63,6 +64,16 @@
         decoded.refused || !decoded.matches_request || answer.status().is_server_error()
     }
 
+    /// Whether the head of an answer shows that the endpoint has not run the request.
+    fn has_not_run(&self, answer: &Answer) -> bool {
+        let head = match answer {
+            Ok(answer) => (answer.status(), answer.headers()),
+            Err(err) => return err.is_unsent(),
+        };
+        let decoded = call::Answer::decode(head.0, head.1, &self.head.attempt);
+        decoded.refused && decoded.matches_request
+    }
+
     /// Waits for the head of an answer. If it does not come in time, another endpoint gets the
     /// request as well, once the budget grants the repeat; the first of the two to answer serves
     /// it.
@@ -123,6 +134,23 @@
         address: net::SocketAddr,
         resume: Option<u64>,
         permit: repeat::Permit,
+    ) -> Result<exchange::Upstream, exchange::SendError> {
+        // Streams count with their first event.
+        let counted = self.usage.clone().filter(|_| self.route.kind != catalog::Kind::Stream);
+        let sent = attempt::Sent::new(counted);
+        let result = self.send_counted(endpoint, address, resume, permit, &sent).await;
+        sent.settle(!result.as_ref().is_err_and(|err| !err.may_have_run()));
+        result
+    }
+
+    /// Like [`Self::send`]; records in `sent` when the request is sent.
+    async fn send_counted(
+        &self,
+        endpoint: &str,
+        address: net::SocketAddr,
+        resume: Option<u64>,
+        permit: repeat::Permit,
+        sent: &attempt::Sent,
     ) -> Result<exchange::Upstream, exchange::SendError> {
         let host = &self.host;
         let mut call = in_flight::Call::begin(host, endpoint);
@@ -143,6 +171,7 @@
             return Err(exchange::SendError::Suspect);
         }
         self.sends.send_modify(|sends| *sends += 1);
+        sent.begin();
         call.record_sent(&self.route.name);
         let timeout = self.first_byte_timeout();
         let session = self.session.map(|session| format!("{session:016x}"));
@@ -169,12 +198,14 @@
         let answer = match head {
             handover::Head::Answer(answer) => answer,
             handover::Head::Moved(upstream) => {
+                sent.settle(true);
                 self.end_handed_over(call, None);
                 return Ok(*upstream);
             }
             handover::Head::Moving(send, answer) => {
                 // Cancels the work at this endpoint.
                 drop(connection);
+                sent.settle(!answer.as_ref().is_some_and(|it| self.has_not_run(it)));
                 self.end_handed_over(call, answer);
                 return send.await.map(|upstream| *upstream);
             }
--- a/sequoiacrank-edge/src/metrics.rs
+++ b/sequoiacrank-edge/src/metrics.rs
@@ -32,6 +32,10 @@
     pub store_calls: prometheus::IntCounter,
     /// Number of the store's records sent to other hosts, counted once for each receiver.
     pub records_told: prometheus::IntCounter,
+    /// Usage windows by what became of them.
+    pub usage_windows: prometheus::IntCounterVec,
+    /// Requests that were counted too late for their usage window.
+    pub usage_dropped: prometheus::IntCounter,
     dropped: prometheus::IntGauge,
     opened: prometheus::IntGauge,
 }
@@ -98,6 +102,14 @@
                 &registry,
                 counter("records_told_total", "Records of the store told to other hosts"),
             ),
+            usage_windows: register(
+                &registry,
+                counters("usage_windows_total", "Usage windows of all hosts", &["outcome"]),
+            ),
+            usage_dropped: register(
+                &registry,
+                counter("usage_dropped_total", "Requests too late for their usage window"),
+            ),
             dropped: register(
                 &registry,
                 gauge("log_lines_dropped", "Log lines left out since the start"),
--- a/sequoiacrank-edge/src/peer/wire/duties.rs
+++ b/sequoiacrank-edge/src/peer/wire/duties.rs
@@ -1,5 +1,11 @@
 //! Messages between hosts and the one that performs duties for all.
 
+use sequoiacrank_kernel::edge::duty::true_time;
+use sequoiacrank_kernel::edge::duty::usage;
+use sequoiacrank_kernel::id;
+
+use crate::host;
+
 /// Report of a host to the holder of the duties. Counts are absolute, so that a report that is lost
 /// or repeated does no harm.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -10,7 +16,8 @@
     /// Milliseconds since the Unix epoch by the sender's clock.
     #[prost(uint64, tag = "2")]
     pub unix: u64,
-    /// Milliseconds since the Unix epoch, in true time, up to which all requests are counted.
+    /// Milliseconds since the Unix epoch, in true time, up to which all requests are counted; 0 if
+    /// the sender does not know the true time.
     #[prost(uint64, tag = "3")]
     pub until: u64,
     /// Usage windows that are not closed.
@@ -59,3 +66,33 @@
     #[prost(uint64, optional, tag = "3")]
     pub closed: Option<u64>,
 }
+
+impl From<usage::Report> for Usage {
+    fn from(report: usage::Report) -> Self {
+        let windows = report.windows.into_iter();
+        Usage {
+            steady: host::millis(report.reading.steady),
+            unix: host::millis(report.reading.unix),
+            until: report.until.map(host::millis).unwrap_or_default(),
+            windows: windows
+                .map(|(window, counts)| Window { window, counts: counts.into_iter().collect() })
+                .collect(),
+            demand: Vec::new(),
+        }
+    }
+}
+
+impl From<&Usage> for usage::Report {
+    fn from(wire: &Usage) -> Self {
+        let counts =
+            |it: &Window| it.counts.iter().map(|(name, sum)| (name.clone(), *sum)).collect();
+        usage::Report {
+            reading: true_time::Reading {
+                steady: id::Time::from_millis(wire.steady),
+                unix: id::Time::from_millis(wire.unix),
+            },
+            until: (wire.until > 0).then(|| id::Time::from_millis(wire.until)),
+            windows: wire.windows.iter().map(|it| (it.window, counts(it))).collect(),
+        }
+    }
+}
--- a/sequoiacrank-edge/src/stop.rs
+++ b/sequoiacrank-edge/src/stop.rs
@@ -13,6 +13,7 @@
 use tokio::signal::unix;
 use tokio::sync::watch;
 
+use crate::duties;
 use crate::host;
 
 /// Time for which new requests are still served. The load balancer stops sending after two failed
@@ -148,6 +149,7 @@
         }
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
+    duties::usage::send_final(host);
     // Lets the connections write the answers that they were given.
     tokio::time::sleep(CHECK_INTERVAL).await;
     Ok(())
--- a/sequoiacrank-edge/src/stream.rs
+++ b/sequoiacrank-edge/src/stream.rs
@@ -268,6 +268,9 @@
             // be released.
             exchange.results.borrow_mut().take();
             let comment_only = events::is_comment(&event);
+            if let Some(usage) = exchange.usage.as_ref().filter(|_| !comment_only) {
+                usage.record_event();
+            }
             if sender.send(Ok(event)).await.is_err() {
                 return End::CallerGone;
             }
