Usage: mend a double borrow that ended the task of reports

The task that sends reports panicked once the true time was known, as the list of awaited hosts reads the ledger that was being changed. Hosts reported nothing from then on, and the holder waited for them until a window was overdue. Found by the process tests in a trial with a lease in a file.

The tests no longer expect a repeat that the bound may refuse, and wait for all windows.

--- a/sequoiacrank-edge/src/duties/usage/mod.rs
+++ b/sequoiacrank-edge/src/duties/usage/mod.rs
@@ -112,8 +112,10 @@
             host.metrics.usage_dropped.inc_by(dropped);
             log::warn!(target: "duties", dropped; "requests counted too late for their usage window");
         }
-        if let Some(now) = self.meter.borrow().true_time(now) {
-            self.ledger.borrow_mut().expire(now, &windows::awaited_hosts(host));
+        let now = self.meter.borrow().true_time(now);
+        if let Some(now) = now {
+            let awaited = windows::awaited_hosts(host);
+            self.ledger.borrow_mut().expire(now, &awaited);
         }
     }
 }
