--- a/sequoiacrank-edge/src/duties/mod.rs
+++ b/sequoiacrank-edge/src/duties/mod.rs
@@ -44,7 +44,7 @@
             lease: lease.map(cell::RefCell::new),
             api: api::Api::default(),
             changed: sync::Notify::new(),
-            usage: usage::Usage::default(),
+            usage: usage::Usage::new(settings.platform_api.as_ref()),
             scaling: scaling::Scaling::default(),
         }
     }
--- a/sequoiacrank-edge/src/metrics.rs
+++ b/sequoiacrank-edge/src/metrics.rs
@@ -37,6 +37,10 @@
     pub duty_calls: prometheus::IntCounterVec,
     duty_held: prometheus::IntGauge,
     duty_token: prometheus::IntGauge,
+    /// Usage windows by what became of them.
+    pub usage_windows: prometheus::IntCounterVec,
+    /// Requests that were counted too late for their usage window.
+    pub usage_dropped: prometheus::IntCounter,
     dropped: prometheus::IntGauge,
     opened: prometheus::IntGauge,
 }
@@ -109,6 +113,14 @@
             ),
             duty_held: register(&registry, gauge("duty_held", "Whether this host may act for all")),
             duty_token: register(&registry, gauge("duty_token", "Fencing token, 0 without one")),
+            usage_windows: register(
+                &registry,
+                counters("usage_windows_total", "Usage windows of all hosts", &["outcome"]),
+            ),
+            usage_dropped: register(
+                &registry,
+                counter("usage_dropped_total", "Requests too late for their usage window"),
+            ),
             dropped: register(
                 &registry,
                 gauge("log_lines_dropped", "Log lines left out since the start"),
