--- a/sequoiacrank-kernel/tests/edge/main.rs
+++ b/sequoiacrank-kernel/tests/edge/main.rs
@@ -9,6 +9,7 @@
 mod notices;
 mod overlay;
 mod parts;
+mod scaling;
 mod sequence;
 mod site;
 mod stage_load;
