Scaling: demand of all hosts, orders of the holder

Hosts count requests that they refuse for lack of an endpoint with room, of services with scaling only, and report them with their calls in flight.

Measured: compiles against the stubs of the lease; not run.

--- a/sequoiacrank-edge/src/duties/mod.rs
+++ b/sequoiacrank-edge/src/duties/mod.rs
@@ -63,6 +63,11 @@
     task::spawn_local(scaling::follow(host));
 }
 
+/// Counts a request that was refused for lack of an endpoint of `service` with room.
+pub fn record_refused(host: &host::Host, service: &str) {
+    scaling::record_refused(host, service);
+}
+
 /// Handles the message `Usage`: the report of another host.
 pub fn receive_usage(host: &rc::Rc<host::Host>, from: peer::Sender, report: &wire::duties::Usage) {
     usage::receive(host, from, report);
--- a/sequoiacrank-edge/src/exchange/choice.rs
+++ b/sequoiacrank-edge/src/exchange/choice.rs
@@ -8,6 +8,7 @@
 use sequoiacrank_kernel::edge::moves;
 use sequoiacrank_kernel::id;
 
+use crate::duties;
 use crate::exchange;
 use crate::facts;
 use crate::notices;
@@ -97,6 +98,7 @@
     /// again after a known time, it tells the caller when to retry. That time is partly random, so
     /// that callers do not all retry at once.
     pub(super) fn no_endpoint(&self) -> refusal::Refusal {
+        duties::record_refused(&self.host, &self.service);
         let wait =
             self.host.facts.borrow().fleet.wait(self.host.clock.now(), &self.service, self.rank);
         match wait {
--- a/sequoiacrank-edge/src/exchange/mod.rs
+++ b/sequoiacrank-edge/src/exchange/mod.rs
@@ -30,6 +30,7 @@
 
 use crate::body::Body;
 use crate::client;
+use crate::duties;
 use crate::front;
 use crate::host;
 use crate::in_flight;
@@ -229,6 +230,7 @@
             SendError::Unsent(_) | SendError::Refused(http::StatusCode::MISDIRECTED_REQUEST)
                 if *unreached + 1 >= MAX_UNREACHED =>
             {
+                duties::record_refused(&self.host, &self.service);
                 Err(refusal::Refusal::retry_soon(code::Code::NoEndpoint))
             }
             SendError::Unsent(permit) => {
@@ -253,9 +255,16 @@
                 Ok(permit)
             }
             SendError::Refused(_) if self.send_count() >= self.route.max_attempts => {
+                duties::record_refused(&self.host, &self.service);
                 Err(refusal::Refusal::retry_soon(code::Code::QueueFull))
             }
-            SendError::Refused(_) => Ok(self.request_permit("refused")),
+            SendError::Refused(_) => {
+                let permit = self.request_permit("refused");
+                if permit.is_none() {
+                    duties::record_refused(&self.host, &self.service);
+                }
+                Ok(permit)
+            }
             SendError::Suspect => Err(refusal::Refusal::new(code::Code::Suspect)),
             SendError::Failed(code) => {
                 self.maybe_ran.set(true);
--- a/sequoiacrank-edge/src/facts.rs
+++ b/sequoiacrank-edge/src/facts.rs
@@ -149,14 +149,7 @@
             self.update_orders(now, known);
         }
         if zones_changed {
-            let out: map::FastSet<id::ZoneId> = self
-                .operators
-                .iter()
-                .filter_map(|(key, _)| match operator::Key::parse(key) {
-                    operator::Key::ZoneOut(zone) => Some(zone),
-                    _ => None,
-                })
-                .collect();
+            let out: map::FastSet<id::ZoneId> = self.out_zones().collect();
             let names = out.iter().cloned().collect::<Vec<_>>().join(",");
             log::info!(target: "operators", zones = names.as_str(), offset = self.operators.end(); "zones out of service");
             self.fleet.set_out_zones(now, out);
@@ -164,6 +157,14 @@
         !changed.is_empty()
     }
 
+    /// The availability zones that operators have taken out of service.
+    pub fn out_zones(&self) -> impl Iterator<Item = id::ZoneId> {
+        self.operators.iter().filter_map(|(key, _)| match operator::Key::parse(key) {
+            operator::Key::ZoneOut(zone) => Some(zone),
+            _ => None,
+        })
+    }
+
     /// Applies the operators' orders to move services to new versions.
     fn update_orders(&mut self, now: id::Time, known: bool) {
         let mut orders = map::FastMap::default();
--- a/sequoiacrank-edge/src/metrics.rs
+++ b/sequoiacrank-edge/src/metrics.rs
@@ -24,6 +24,9 @@
     pub notices: prometheus::IntCounterVec,
     /// Requests to endpoints with a limit, by whether the limit allowed them.
     pub grants: prometheus::IntCounterVec,
+    /// Number of endpoints that this host has ordered as the holder of the duties, by service and
+    /// availability zone.
+    pub desired: prometheus::IntGaugeVec,
     /// Number of calls to stage endpoints.
     pub stage_calls: prometheus::IntCounter,
     /// Number of pieces in the calls to stage endpoints.
@@ -85,6 +88,13 @@
                 &registry,
                 counters("grants_total", "Requests for endpoints with a limit", &["outcome"]),
             ),
+            desired: register(
+                &registry,
+                prometheus::IntGaugeVec::new(
+                    opts("scaling_desired", "Endpoints ordered by this host, the holder"),
+                    &["service", "zone"],
+                ),
+            ),
             stage_calls: register(
                 &registry,
                 counter("stage_calls_total", "Calls to stage endpoints"),
