--- a/sequoiacrank-kernel/tests/edge/scaling.rs
+++ b/sequoiacrank-kernel/tests/edge/scaling.rs
@@ -205,7 +205,7 @@
     assert_safe(&world, 44 + 4 + 9);
     assert_eq!(world.history.iter().map(|it| it.refused).sum::<u32>(), 0);
     assert_eq!(world.count().0, 3);
-    assert!(world.count().1 <= 3 * 6, "{:?}", world.count());
+    assert!(world.count().1 <= 3 * 5, "{:?}", world.count());
 }
 
 /// Guards against a new holder that starts from what it has seen itself: it would remove endpoints
