--- a/sequoiacrank-edge/src/duties/api.rs
+++ b/sequoiacrank-edge/src/duties/api.rs
@@ -25,10 +25,6 @@
 const FIRST_PAUSE: time::Duration = time::Duration::from_millis(250);
 /// Maximum number of doublings of [`FIRST_PAUSE`].
 const MAX_PAUSE_DOUBLINGS: u32 = 3;
-/// Time until a failed call is repeated, doubled with each further failure of the call.
-const FIRST_BACKOFF: time::Duration = time::Duration::from_millis(500);
-/// Maximum number of doublings of [`FIRST_BACKOFF`].
-const MAX_BACKOFF_DOUBLINGS: u32 = 3;
 /// Time after which a call that waits for its turn checks again whether the lease is held.
 const CHECK_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
@@ -72,18 +68,6 @@
 }
 
 impl Error {
-    /// Time after which the caller may repeat the call, after `failures` failures of it in a row
-    /// (at least 1); `None` if this host cannot repeat it under the same lease.
-    pub fn backoff(&self, failures: u32) -> Option<time::Duration> {
-        let doublings = failures.saturating_sub(1).min(MAX_BACKOFF_DOUBLINGS);
-        match self {
-            Error::NotHeld | Error::Fenced | Error::Request(_) => None,
-            Error::Busy(_) | Error::Unsent(_) | Error::Unknown(_) | Error::Odd(_) => {
-                Some(FIRST_BACKOFF * (1 << doublings))
-            }
-        }
-    }
-
     /// Name of the outcome in metrics.
     fn outcome(&self) -> &'static str {
         match self {
--- a/sequoiacrank-edge/src/duties/usage/windows.rs
+++ b/sequoiacrank-edge/src/duties/usage/windows.rs
@@ -145,7 +145,6 @@
     let outcome = match &result {
         Ok(()) => ledger::Outcome::Accepted,
         Err(api::Error::NotHeld) => ledger::Outcome::NotCalled,
-        #[allow(unreachable_patterns, reason = "depends on the variants of the error")]
         Err(_) => ledger::Outcome::Unknown,
     };
     let now = state.meter.borrow().true_time(duties::steady_now()).unwrap_or_default();
@@ -159,7 +158,7 @@
         }
         Err(err) => {
             let (err, next) = (err.to_string(), pause.map(host::millis));
-            log::warn!(target: "duties", call = "usage", window, attempts, err = err.as_str(), next; "call failed");
+            log::warn!(target: "duties", window, attempts, err = err.as_str(), next; "window not reported");
         }
     }
 }
