--- a/sequoiacrank-kernel/tests/edge/scaling.rs
+++ b/sequoiacrank-kernel/tests/edge/scaling.rs
@@ -126,6 +126,20 @@
     assert_eq!(world.count().0, 3);
 }
 
+/// Guards against reductions while a zone is out of service: its load shows elsewhere, and the others
+/// have to be able to take over more.
+#[test]
+fn zone_evacuated_under_falling_load() {
+    let mut world = world::World::new(25, 4, 200);
+    world.run(60, |_| 150);
+    world.zones.get_mut("c").expect("no zone").out = true;
+    world.run(60, |_| 60);
+    assert_eq!(world.count().0, 0);
+    world.zones.get_mut("c").expect("no zone").out = false;
+    world.run(60, |_| 60);
+    assert_eq!(world.ordered(), [10, 10, 10]);
+}
+
 /// Guards against an increase with each second of refusals until endpoints that boot slowly serve:
 /// with a quarter each second, the number would be at its maximum within 9 s.
 #[test]
