Account of the memory that connections hold

Crowds of large unfinished bodies ended a process on a small machine, because nothing bounded what callers can make a host hold.

The kernel gets a pure account: who holds how many bytes, what is kept free for small bodies and for answers, which stalled bodies are evicted, and who waits or is refused when the budget is used up. It is not used yet.

--- a/sequoiacrank-kernel/src/edge.rs
+++ b/sequoiacrank-kernel/src/edge.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod limiter;
 pub mod members;
+pub mod memory;
 pub mod moves;
 pub mod notice;
 pub mod pace;
--- a/sequoiacrank-kernel/src/edge/members/reach.rs
+++ b/sequoiacrank-kernel/src/edge/members/reach.rs
@@ -28,6 +28,11 @@
 }
 
 impl members::Members {
+    /// Number of other hosts that are known, reachable or not.
+    pub fn known_hosts(&self) -> usize {
+        self.members.len()
+    }
+
     /// Hosts that have positions on the rings.
     pub(super) fn ring_candidates(
         &self,
--- /dev/null
+++ b/sequoiacrank-kernel/src/edge/memory.rs
@@ -0,0 +1,283 @@
+//! Accounting of the memory that connections hold, and who gives way when the budget is used up.
+
+use std::time;
+
+use crate::id;
+use crate::map;
+
+/// Number of something that holds memory, such as a body; unique within an account.
+pub type HolderId = u64;
+
+/// Size in bytes up to which bodies may use the reserve.
+pub const SMALL_BYTES: usize = 64 << 10;
+/// Time without progress after which an incomplete body may be evicted.
+pub const STALL_TIME: time::Duration = time::Duration::from_millis(500);
+/// Time for which a holder waits for room before it is refused.
+pub const ROOM_WAIT: time::Duration = time::Duration::from_millis(250);
+/// Bytes that one connection is charged: the buffers that the HTTP library holds for its head.
+pub const CONNECTION_BYTES: usize = 16 << 10;
+/// Budget in bytes if the memory of the machine is unknown.
+pub const DEFAULT_BUDGET: usize = 256_000_000;
+
+/// The reserves for small bodies and for answers are `1 / RESERVE_DIVISOR` of the budget each.
+const RESERVE_DIVISOR: usize = 8;
+/// The budget is at least this multiple of the largest legal body. Three quarters of it, the ceiling
+/// of large bodies, then still hold one of them beside connections.
+const BODY_MULTIPLE: usize = 2;
+/// Shortest time between two attempts of a holder to get room.
+const MIN_RETRY: time::Duration = time::Duration::from_millis(20);
+
+/// Budget in bytes of a machine with `megabytes` of memory; `None` if that is unknown.
+pub fn budget(megabytes: Option<u32>) -> usize {
+    megabytes.map_or(DEFAULT_BUDGET, |megabytes| megabytes as usize * 1_000_000 / 4)
+}
+
+/// What a holder holds memory for, which decides how much of the budget it may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Class {
+    /// A body of at most [`SMALL_BYTES`], or a message of another host. It may use all of the
+    /// budget.
+    Small,
+    /// A body of a request that is larger, or of which the size is unknown. It leaves room for
+    /// answers: an answer without room is lost, while a request is only refused.
+    Request,
+    /// An answer of an endpoint or of the store. Its first [`SMALL_BYTES`] may use all of the
+    /// budget.
+    Answer,
+}
+
+/// Outcome of a request for memory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Decision {
+    /// The bytes are held from now on.
+    Granted,
+    /// There is no room now. The holders in `evicted` have to give up. The request is repeated when
+    /// bytes are released, and at the time `until`.
+    Wait {
+        /// Holders that have made no progress for [`STALL_TIME`], longest first.
+        evicted: Vec<HolderId>,
+        /// Time of the next attempt.
+        until: id::Time,
+    },
+    /// There was no room for at least [`ROOM_WAIT`].
+    Refused,
+}
+
+/// Memory of one holder.
+#[derive(Clone, Debug)]
+struct Holder {
+    class: Class,
+    bytes: usize,
+    /// When bytes of it arrived last.
+    progressed: id::Time,
+    /// Since when it waits for room. It is not read meanwhile, so it cannot make progress.
+    waiting: Option<id::Time>,
+    /// Whether it is complete. Complete bodies are not evicted.
+    complete: bool,
+    evicted: bool,
+}
+
+impl Holder {
+    /// When it counts as stalled; `None` if it cannot be evicted.
+    fn stalls_at(&self) -> Option<id::Time> {
+        let may_stall = !self.complete && !self.evicted && self.waiting.is_none() && self.bytes > 0;
+        may_stall.then_some(self.progressed + STALL_TIME)
+    }
+}
+
+/// The memory that all holders and connections hold.
+#[derive(Clone, Debug)]
+pub struct Account {
+    /// Budget by the memory of the machine, in bytes.
+    base: usize,
+    /// Budget in force, in bytes: `base`, or more if the largest legal body needs it.
+    budget: usize,
+    /// Size of the largest legal body in bytes.
+    largest: usize,
+    held: usize,
+    holders: map::FastMap<HolderId, Holder>,
+    next: HolderId,
+}
+
+impl Account {
+    /// An account of which nothing is held; `budget` in bytes.
+    pub fn new(budget: usize) -> Self {
+        Account {
+            base: budget,
+            budget,
+            largest: 0,
+            held: 0,
+            holders: map::FastMap::default(),
+            next: 0,
+        }
+    }
+
+    /// Sets the size of the largest legal body in bytes. Returns whether the budget was too small
+    /// for it and was raised.
+    pub fn set_largest(&mut self, bytes: usize) -> bool {
+        self.largest = bytes;
+        let least = bytes.saturating_mul(BODY_MULTIPLE);
+        self.budget = self.base.max(least);
+        least > self.base
+    }
+
+    /// Budget in bytes.
+    pub fn budget(&self) -> usize {
+        self.budget
+    }
+
+    /// Bytes that are held.
+    pub fn held(&self) -> usize {
+        self.held
+    }
+
+    /// Maximum number of connections of callers, so that one body of the largest legal size fits
+    /// beside them.
+    pub fn max_connections(&self) -> usize {
+        let beside = self.ceiling(Class::Request).saturating_sub(self.largest);
+        beside.min(self.budget / 2) / CONNECTION_BYTES
+    }
+
+    /// Whether there is room for one more connection.
+    pub fn has_connection_room(&self) -> bool {
+        self.held + CONNECTION_BYTES <= self.budget
+    }
+
+    /// Charges a connection, also if there is no room: it may take the place of one that is told to
+    /// close. Their number is bounded by [`Account::max_connections`].
+    pub fn open_connection(&mut self) {
+        self.held += CONNECTION_BYTES;
+    }
+
+    /// Takes back the charge of a connection.
+    pub fn close_connection(&mut self) {
+        self.held = self.held.saturating_sub(CONNECTION_BYTES);
+    }
+
+    /// Adds a holder without memory.
+    pub fn open(&mut self, now: id::Time, class: Class) -> HolderId {
+        self.next += 1;
+        // An answer is complete in the sense that it is not evicted: its request has run.
+        let complete = class == Class::Answer;
+        let holder =
+            Holder { class, bytes: 0, progressed: now, waiting: None, complete, evicted: false };
+        self.holders.insert(self.next, holder);
+        self.next
+    }
+
+    /// Removes a holder and releases its memory.
+    pub fn close(&mut self, id: HolderId) {
+        if let Some(holder) = self.holders.remove(&id) {
+            self.held = self.held.saturating_sub(holder.bytes);
+        }
+    }
+
+    /// Records that bytes of a holder arrived.
+    pub fn record_progress(&mut self, now: id::Time, id: HolderId) {
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.progressed = now;
+        }
+    }
+
+    /// Records that a body is complete.
+    pub fn complete(&mut self, id: HolderId) {
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.complete = true;
+        }
+    }
+
+    /// Releases some of the bytes of a holder.
+    pub fn release(&mut self, id: HolderId, bytes: usize) {
+        if let Some(holder) = self.holders.get_mut(&id) {
+            let bytes = bytes.min(holder.bytes);
+            holder.bytes -= bytes;
+            self.held = self.held.saturating_sub(bytes);
+        }
+    }
+
+    /// Requests `more` bytes for a holder. A holder that is not known is refused.
+    ///
+    /// Among large bodies the one that began first goes first, and of those that have waited for
+    /// [`ROOM_WAIT`] the last one is refused first. Otherwise all of a crowd would get a part of the
+    /// budget, and none would get enough to end.
+    pub fn request(&mut self, now: id::Time, id: HolderId, more: usize) -> Decision {
+        let Some(holder) = self.holders.get(&id) else { return Decision::Refused };
+        let is_small = holder.class != Class::Request && holder.bytes + more <= SMALL_BYTES;
+        let ceiling = if is_small { self.budget } else { self.ceiling(holder.class) };
+        let excess = (self.held + more).saturating_sub(ceiling);
+        let (class, since) = (holder.class, holder.waiting.unwrap_or(now));
+        if excess == 0 && !self.has_waiting_body(class, |other| other < id) {
+            self.held += more;
+            self.update(id, |holder| {
+                holder.bytes += more;
+                holder.progressed = now;
+                holder.waiting = None;
+            });
+            return Decision::Granted;
+        }
+        self.update(id, |holder| holder.waiting = Some(since));
+        let evicted = self.evict(now, excess);
+        let deadline = since + ROOM_WAIT;
+        let is_last = !self.has_waiting_body(class, |other| other > id);
+        if now >= deadline && is_last && !self.holders.values().any(|it| it.evicted) {
+            self.update(id, |holder| {
+                holder.waiting = None;
+                holder.progressed = now;
+            });
+            return Decision::Refused;
+        }
+        let stalls = self.holders.values().filter_map(Holder::stalls_at).min();
+        let until = stalls.map_or(deadline, |stalls| stalls.min(deadline));
+        Decision::Wait { evicted, until: until.max(now + MIN_RETRY) }
+    }
+
+    /// Whether a large body waits for room that `filter` accepts, if `class` is that of large
+    /// bodies.
+    fn has_waiting_body<F>(&self, class: Class, filter: F) -> bool
+    where
+        F: Fn(HolderId) -> bool,
+    {
+        let waits = |it: &Holder| it.class == Class::Request && it.waiting.is_some();
+        class == Class::Request && self.holders.iter().any(|(id, it)| filter(*id) && waits(it))
+    }
+
+    /// Bytes of the budget up to which a class that is not small may fill it.
+    fn ceiling(&self, class: Class) -> usize {
+        let reserve = self.budget / RESERVE_DIVISOR;
+        match class {
+            Class::Small => self.budget,
+            Class::Answer => self.budget - reserve,
+            Class::Request => self.budget - 2 * reserve,
+        }
+    }
+
+    fn update<F>(&mut self, id: HolderId, change: F)
+    where
+        F: FnOnce(&mut Holder),
+    {
+        if let Some(holder) = self.holders.get_mut(&id) {
+            change(holder);
+        }
+    }
+
+    /// Marks stalled holders as evicted, longest without progress first, until `bytes` will be
+    /// released by them and by those evicted before.
+    fn evict(&mut self, now: id::Time, bytes: usize) -> Vec<HolderId> {
+        let pending = self.holders.values().filter(|it| it.evicted).map(|it| it.bytes);
+        let mut freed: usize = pending.sum();
+        let stalled =
+            self.holders.iter().filter(|(_, it)| it.stalls_at().is_some_and(|at| at <= now));
+        let mut stalled: Vec<_> = stalled.map(|(id, it)| (it.progressed, *id, it.bytes)).collect();
+        stalled.sort_unstable();
+        let mut evicted = Vec::new();
+        for (_, id, held) in stalled {
+            if freed >= bytes {
+                break;
+            }
+            freed += held;
+            self.update(id, |holder| holder.evicted = true);
+            evicted.push(id);
+        }
+        evicted
+    }
+}
--- a/sequoiacrank-kernel/tests/edge/main.rs
+++ b/sequoiacrank-kernel/tests/edge/main.rs
@@ -4,6 +4,7 @@
 mod duties;
 mod fleet;
 mod members;
+mod memory;
 mod mesh;
 mod moves;
 mod notices;
