Bound on the memory and connections of callers and endpoints

What operators see: a crowd of large or unfinished bodies no longer ends the process. While memory is short, bodies get 503 with Retry-After, stalled ones 408, and small bodies are served from a reserve. Beyond the bound on connections, the one that is idle longest is closed. One line a second at most (front: bodies or connections given up) and new metrics tell it.

Cause: bodies, answers and queued events were collected without a common bound, and connections were accepted without one.

Change: the account of the kernel decides; bodies are copied into blocks and handed to connections as they are. A body whose announced length is over the limit gets 413 before any of it is read. The budget is a quarter of `memory`; `memory` and `descriptors` that leave hardly any connection are refused at start.

--- a/sequoiacrank-config/src/edge.rs
+++ b/sequoiacrank-config/src/edge.rs
@@ -5,6 +5,7 @@
 
 use sequoiacrank_kernel::code;
 use sequoiacrank_kernel::edge::budget;
+use sequoiacrank_kernel::edge::memory;
 use sequoiacrank_kernel::edge::moves;
 
 use crate::problem;
@@ -235,6 +236,38 @@
     }
 }
 
+/// Descriptors that are left to listeners, endpoints, the store and other hosts in any case.
+const OTHER_DESCRIPTORS: u32 = 200;
+/// Fewest connections of callers with which a host works.
+pub const MIN_CALLERS: u32 = 16;
+/// Smallest memory of a machine in megabytes. A process takes about 8 MB at rest, and a quarter of
+/// the memory has to hold an answer of several megabytes.
+const MIN_MEMORY: u32 = 32;
+
+/// Maximum number of connections of callers for a number of file descriptors.
+pub fn caller_connections(descriptors: u32) -> u32 {
+    descriptors.saturating_sub(OTHER_DESCRIPTORS) / 2
+}
+
+/// Describes why a host cannot work with these settings `memory` and `descriptors`.
+fn resource_problem(memory: Option<u32>, descriptors: Option<u32>) -> Option<String> {
+    let by_descriptors = descriptors.map_or(u32::MAX, caller_connections);
+    let budget = memory::Account::new(memory::budget(memory));
+    let connections = budget.max_connections().min(by_descriptors as usize);
+    let text = |value: Option<u32>| value.map_or("not set".to_owned(), |value| value.to_string());
+    let both = format!("`memory` ({}) and `descriptors` ({})", text(memory), text(descriptors));
+    match () {
+        () if memory.is_some_and(|memory| memory < MIN_MEMORY) => {
+            Some(format!("{both}: `memory` has to be at least {MIN_MEMORY} megabytes"))
+        }
+        () if connections < MIN_CALLERS as usize => Some(format!(
+            "{both} leave {connections} connections to callers, fewer than {MIN_CALLERS}; \
+             {OTHER_DESCRIPTORS} descriptors and half of the others are for endpoints and hosts"
+        )),
+        () => None,
+    }
+}
+
 impl read::Decode for Settings {
     fn decode(node: &tree::Node, sink: &mut read::Sink) -> Option<Self> {
         let mut fields = read::Reader::new(node, sink)?;
@@ -256,6 +289,13 @@
         let descriptors = fields.optional("descriptors");
         let log = fields.with_default("log", Log::default());
         fields.finish();
+        if let Some(detail) = memory
+            .zip(descriptors)
+            .and_then(|(memory, descriptors)| resource_problem(memory, descriptors))
+        {
+            sink.add(code::Code::OutOfRange, &node.location, &node.path, detail);
+            return None;
+        }
         Some(Settings {
             host: host?,
             zone: zone?,
--- a/sequoiacrank-edge/src/body.rs
+++ b/sequoiacrank-edge/src/body.rs
@@ -4,11 +4,12 @@
 use std::pin;
 use std::task;
 
-use bytes::Bytes;
 use http_body::Frame;
 use quick_error::quick_error;
 use tokio::sync::mpsc;
 
+use crate::memory::blocks;
+
 quick_error! {
     /// Why the body of an answer failed. The error closes the connection, so that the caller does
     /// not take the stream for a complete one.
@@ -29,34 +30,39 @@
 
 /// The body of an answer.
 pub enum Body {
-    /// The complete body; `None` once it is sent, or if it is empty.
-    Full(Option<Bytes>),
+    /// What is left of a complete body.
+    Full(blocks::Unwritten),
     /// A stream of chunks, and the error with which it fails once the chunks are written.
-    Stream(mpsc::Receiver<Result<Bytes, StreamError>>, Option<StreamError>),
+    Stream(mpsc::Receiver<Result<blocks::Chunk, StreamError>>, Option<StreamError>),
 }
 
 impl Body {
     /// A body whose chunks are received from `chunks`.
-    pub fn stream(chunks: mpsc::Receiver<Result<Bytes, StreamError>>) -> Self {
+    pub fn stream(chunks: mpsc::Receiver<Result<blocks::Chunk, StreamError>>) -> Self {
         Body::Stream(chunks, None)
     }
 
     /// A body of which all bytes are available.
-    pub fn full(bytes: Bytes) -> Self {
-        Body::Full(Some(bytes).filter(|bytes| !bytes.is_empty()))
+    pub fn full(body: blocks::Blocks) -> Self {
+        Body::Full(body.into())
+    }
+
+    /// A body without bytes.
+    pub fn empty() -> Self {
+        Body::Full(blocks::Unwritten::default())
     }
 }
 
 impl http_body::Body for Body {
-    type Data = Bytes;
+    type Data = blocks::Chunk;
     type Error = StreamError;
 
     fn poll_frame(
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
-    ) -> task::Poll<Option<Result<Frame<Bytes>, StreamError>>> {
+    ) -> task::Poll<Option<Result<Frame<blocks::Chunk>, StreamError>>> {
         match &mut *self {
-            Body::Full(bytes) => task::Poll::Ready(bytes.take().map(|it| Ok(Frame::data(it)))),
+            Body::Full(rest) => task::Poll::Ready(rest.take_chunk().map(|it| Ok(Frame::data(it)))),
             Body::Stream(chunks, failure) => match failure.take() {
                 Some(err) => task::Poll::Ready(Some(Err(err))),
                 None => match chunks.poll_recv(cx) {
@@ -74,14 +80,12 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Body::Full(None))
+        matches!(self, Body::Full(rest) if rest.length() == 0)
     }
 
     fn size_hint(&self) -> http_body::SizeHint {
         match self {
-            Body::Full(bytes) => {
-                http_body::SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64)
-            }
+            Body::Full(rest) => http_body::SizeHint::with_exact(rest.length()),
             Body::Stream(..) => http_body::SizeHint::default(),
         }
     }
--- a/sequoiacrank-edge/src/client.rs
+++ b/sequoiacrank-edge/src/client.rs
@@ -3,15 +3,16 @@
 use std::cell;
 use std::io;
 use std::net;
+use std::rc;
 use std::time;
 
 use bytes::Bytes;
-use http_body_util::BodyExt as _;
 use hyper::body;
 use hyper::client::conn::http1;
 use hyper_util::rt;
 use quick_error::quick_error;
 use sequoiacrank_adapter::call;
+use sequoiacrank_kernel::edge::memory as account;
 use sequoiacrank_kernel::edge::notice;
 use sequoiacrank_kernel::id;
 use sequoiacrank_kernel::map;
@@ -19,6 +20,8 @@
 use tokio::task;
 
 use crate::clock;
+use crate::memory;
+use crate::memory::blocks;
 
 /// Time to connect: several times the round trip between availability zones, and well below the
 /// shortest target latency of a request.
@@ -32,6 +35,10 @@
 const REUSE_DIVISOR: u32 = 2;
 /// Size of the largest body that `read_body` accepts, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Size of the largest head of an answer in bytes, and of the buffer from which its body is read.
+/// The HTTP library holds up to three such buffers for an endpoint that sends without pause. With
+/// 64 KiB, 100 endless answers took 15 MB beside their bodies.
+const MAX_BUFFER_BYTES: usize = 32 << 10;
 
 quick_error! {
     /// Why a call has no answer.
@@ -58,6 +65,10 @@
         TooLarge {
             display("the answer is too large")
         }
+        /// There was no memory for the body of the answer.
+        NoRoom {
+            display("no memory for the answer")
+        }
     }
 }
 
@@ -96,7 +107,7 @@
 /// A connection to a server. Dropping it closes it at once, which cancels the request in flight.
 pub struct Connection {
     address: net::SocketAddr,
-    sender: http1::SendRequest<http_body_util::Full<Bytes>>,
+    sender: http1::SendRequest<blocks::Unwritten>,
     _task: AbortOnDrop,
     /// Whether a request has been sent on it.
     used: bool,
@@ -110,7 +121,10 @@
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = stream.map_err(|_| Error::Connect(timeout()))?.map_err(Error::Connect)?;
         configure_socket(&stream).map_err(Error::Connect)?;
-        let (sender, connection) = http1::handshake(rt::TokioIo::new(stream)).await?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(rt::TokioIo::new(stream))
+            .await?;
         let task = task::spawn_local(async move {
             // `send` returns the error.
             let _ = connection.await;
@@ -125,14 +139,14 @@
     /// [`Error::Connect`] if the request was not sent, [`Error::Broken`] if it may have been.
     pub async fn send(
         &mut self,
-        mut request: http::Request<Bytes>,
+        mut request: http::Request<blocks::Blocks>,
     ) -> Result<http::Response<body::Incoming>, Error> {
         self.kept = std::mem::replace(&mut self.used, true);
         if let http::header::Entry::Vacant(host) = request.headers_mut().entry(http::header::HOST) {
             let address = http::HeaderValue::from_str(&self.address.to_string());
             host.insert(address.expect("an address is plain text"));
         }
-        let request = request.map(http_body_util::Full::new);
+        let request = request.map(blocks::Unwritten::from);
         match self.sender.try_send_request(request).await {
             Ok(answer) => Ok(answer),
             Err(mut err) => match err.take_message() {
@@ -166,6 +180,7 @@
 /// A pool of idle connections.
 pub struct Pool {
     clock: clock::Clock,
+    memory: rc::Rc<memory::Memory>,
     idle: cell::RefCell<map::FastMap<net::SocketAddr, Vec<Idle>>>,
     opened: cell::Cell<u64>,
 }
@@ -176,6 +191,8 @@
     pub status: http::StatusCode,
     /// Body of the answer.
     pub body: Bytes,
+    /// Keeps the memory of the body accounted for.
+    _lease: Option<rc::Rc<memory::Lease>>,
     /// What the endpoint reports about itself in its headers.
     pub notice: notice::Notice,
     /// Whether it is certainly the answer to this call, and not to an earlier one.
@@ -183,9 +200,9 @@
 }
 
 impl Pool {
-    /// An empty pool.
-    pub fn new(clock: clock::Clock) -> Self {
-        Pool { clock, idle: cell::RefCell::default(), opened: cell::Cell::new(0) }
+    /// An empty pool; the answers to its calls take part of `memory`.
+    pub fn new(clock: clock::Clock, memory: rc::Rc<memory::Memory>) -> Self {
+        Pool { clock, memory, idle: cell::RefCell::default(), opened: cell::Cell::new(0) }
     }
 
     /// Opens a new connection.
@@ -261,6 +278,7 @@
         request: http::Request<Bytes>,
         timeout: time::Duration,
     ) -> Result<Answer, Error> {
+        let request = request.map(blocks::Blocks::from);
         let call = async {
             let mut connection = self.get(address).await?;
             let answer = match connection.send(request.clone()).await {
@@ -288,6 +306,7 @@
         request: http::Request<Bytes>,
         timeout: time::Duration,
     ) -> Result<Answer, Error> {
+        let request = request.map(blocks::Blocks::from);
         let call = async {
             let mut connection = self.connect(address).await?;
             let answer = connection.send(request).await?;
@@ -303,13 +322,13 @@
         answer: http::Response<body::Incoming>,
     ) -> Result<Answer, Error> {
         let (head, body) = answer.into_parts();
-        let body = read_body(body).await?;
+        let (body, lease) = read_body(&self.memory, body).await?.join();
         let decoded = connection.mark_kept(call::Answer::decode_call(head.status, &head.headers));
         if let Some(keep_alive) = decoded.keep_alive {
             self.put(connection, keep_alive);
         }
         let call::Answer { notice, matches_request: certain, .. } = decoded;
-        Ok(Answer { status: head.status, body, notice, certain })
+        Ok(Answer { status: head.status, body, _lease: lease, notice, certain })
     }
 }
 
@@ -317,13 +336,19 @@
 ///
 /// # Errors
 ///
-/// When the connection breaks or the body is too large.
-pub async fn read_body(body: body::Incoming) -> Result<Bytes, Error> {
-    match http_body_util::Limited::new(body, MAX_ANSWER_BYTES).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(err) => match err.downcast::<hyper::Error>() {
-            Ok(err) => Err(Error::Broken(*err)),
-            Err(_) => Err(Error::TooLarge),
-        },
+/// When the connection breaks, the body is too large, or there is no memory for it.
+pub async fn read_body(
+    memory: &rc::Rc<memory::Memory>,
+    mut body: body::Incoming,
+) -> Result<blocks::Blocks, Error> {
+    let answer = account::Class::Answer;
+    match blocks::collect(memory, answer, &mut body, MAX_ANSWER_BYTES).await {
+        Ok(blocks) => Ok(blocks),
+        Err(blocks::Error::Broken(err)) => Err(Error::Broken(err)),
+        Err(blocks::Error::TooLarge) => Err(Error::TooLarge),
+        Err(blocks::Error::NoRoom | blocks::Error::Evicted) => {
+            memory.pressure.record(memory::pressure::Cause::AnswerLost);
+            Err(Error::NoRoom)
+        }
     }
 }
--- a/sequoiacrank-edge/src/exchange/admission.rs
+++ b/sequoiacrank-edge/src/exchange/admission.rs
@@ -18,8 +18,9 @@
 
 use crate::exchange;
 use crate::exchange::suspect;
-use crate::front;
 use crate::host;
+use crate::memory::blocks;
+use crate::memory::pressure;
 use crate::refusal;
 use crate::stop;
 
@@ -28,8 +29,8 @@
 
 /// Time for which the rest of the body of a refused request is read.
 const DISCARD_TIMEOUT: time::Duration = time::Duration::from_secs(1);
-/// Number of bytes of such a body that are read at least, also before a configuration sets a limit.
-const MIN_DISCARD_BYTES: usize = 64 << 10;
+/// Number of bytes beyond the limit on bodies up to which such a body is read.
+const EXTRA_DISCARD_BYTES: usize = 64 << 10;
 
 /// What the head of a request is matched to.
 struct Matched {
@@ -64,11 +65,20 @@
 /// Reads the rest of the body of a request that is refused. A caller may read the answer only once
 /// it has sent all of its request, and a connection that is closed before is reset. Bodies that wait
 /// for a `100 Continue` do not come.
-async fn discard(host: &host::Host, parts: &http::request::Parts, body: &mut body::Incoming) {
+async fn discard(
+    host: &host::Host,
+    parts: &http::request::Parts,
+    body: &mut body::Incoming,
+    code: code::Code,
+) {
     if parts.headers.contains_key(http::header::EXPECT) {
         return;
     }
-    let max_bytes = host.limits.borrow().body_bytes.max(MIN_DISCARD_BYTES);
+    let max_bytes = match code {
+        // As much as the limit allows was read before the body turned out to be longer.
+        code::Code::TooLarge if blocks::announced(body).is_none() => EXTRA_DISCARD_BYTES,
+        _ => host.limits.borrow().body_bytes.saturating_add(EXTRA_DISCARD_BYTES),
+    };
     let mut read = 0;
     let rest = async {
         while let Some(Ok(frame)) = body.frame().await {
@@ -83,11 +93,46 @@
     }
 }
 
+/// Reads the body of a request. While it is incomplete, it takes nothing but memory.
+///
+/// # Errors
+///
+/// When it is larger than `max_bytes` or late, or there is no memory for it.
+async fn receive_body(
+    host: &host::Host,
+    body: &mut body::Incoming,
+    max_bytes: usize,
+) -> Result<blocks::Blocks, refusal::Refusal> {
+    let class = blocks::request_class(body);
+    let read = blocks::collect(&host.memory, class, body, max_bytes);
+    let read = tokio::time::timeout(BODY_TIMEOUT, read).await;
+    let (cause, refusal) = match read {
+        Ok(Ok(body)) => return Ok(body),
+        // The caller disconnected or is too slow; nothing was sent to an endpoint.
+        Ok(Err(blocks::Error::Broken(_))) | Err(_) => {
+            return Err(refusal::Refusal::new(code::Code::BodyLate));
+        }
+        Ok(Err(blocks::Error::TooLarge)) => {
+            (pressure::Cause::BodyTooLarge, refusal::Refusal::new(code::Code::TooLarge))
+        }
+        Ok(Err(blocks::Error::Evicted)) => {
+            let late = refusal::Refusal::new(code::Code::BodyLate);
+            (pressure::Cause::BodyEvicted, refusal::Refusal { lacks_memory: true, ..late })
+        }
+        Ok(Err(blocks::Error::NoRoom)) => {
+            let full = refusal::Refusal::retry_soon(code::Code::QueueFull);
+            (pressure::Cause::BodyRefused, refusal::Refusal { lacks_memory: true, ..full })
+        }
+    };
+    host.memory.pressure.record(cause);
+    Err(refusal)
+}
+
 /// A request that was read and may be served.
 struct Received {
     head: ingress::Head,
     matched: Matched,
-    body: Bytes,
+    body: blocks::Blocks,
     deadline: id::Time,
     identity: crash::Request,
 }
@@ -106,13 +151,7 @@
     let head = ingress::Head::decode(parts);
     let head = head.map_err(|_| refusal::Refusal::new(code::Code::BadRequest))?;
     let matched = match_head(host, &head)?;
-    let read = front::read_body(body, matched.catalog.limits.body_bytes);
-    let body = match tokio::time::timeout(BODY_TIMEOUT, read).await {
-        Ok(Ok(Some(body))) => body,
-        Ok(Ok(None)) => return Err(refusal::Refusal::new(code::Code::TooLarge)),
-        // The caller disconnected or is too slow; nothing was sent to an endpoint.
-        Ok(Err(_)) | Err(_) => return Err(refusal::Refusal::new(code::Code::BodyLate)),
-    };
+    let body = receive_body(host, body, matched.catalog.limits.body_bytes).await?;
     let timeout = matched.route.timeout;
     let deadline = began + head.budget.map_or(timeout, |budget| budget.min(timeout));
     // Checked once the body has arrived, which may be long after the head.
@@ -143,13 +182,20 @@
     let received = match receive(host, &parts, &mut body, began).await {
         Ok(received) => received,
         Err(refusal) => {
+            // The answer to a late body closes the connection.
             if refusal.code != code::Code::BodyLate {
-                discard(host, &parts, &mut body).await;
+                discard(host, &parts, &mut body, refusal.code).await;
             }
             let number = refusal.code.number();
             host.metrics.requests.with_label_values(&["", &number.to_string()]).inc();
             let id = ingress::attempt(&parts.headers).unwrap_or_default();
-            log::warn!(target: "request", id, code = number, path = parts.uri.path(); "refused");
+            // Many requests are refused at once when memory is short. They are counted in one
+            // warning a second; their own lines are limited.
+            let level = match refusal.lacks_memory {
+                true => log::Level::Info,
+                false => log::Level::Warn,
+            };
+            log::log!(target: "request", level, id, code = number, path = parts.uri.path(); "refused");
             return Err(refusal);
         }
     };
@@ -194,7 +240,13 @@
 
 /// Hash of the method, URI, key and body of a request. It is the same each time that a caller sends
 /// the request.
-fn fingerprint(parts: &http::request::Parts, key: Option<&str>, body: &Bytes) -> id::Fingerprint {
+fn fingerprint(
+    parts: &http::request::Parts,
+    key: Option<&str>,
+    body: &blocks::Blocks,
+) -> id::Fingerprint {
     let head = format!("{} {} {}", parts.method, parts.uri, key.unwrap_or_default());
-    xxhash_rust::xxh3::xxh3_64_with_seed(body, xxhash_rust::xxh3::xxh3_64(head.as_bytes()))
+    let mut hash = xxhash_rust::xxh3::Xxh3::with_seed(xxhash_rust::xxh3::xxh3_64(head.as_bytes()));
+    body.iter().for_each(|block| hash.update(block));
+    hash.digest()
 }
--- a/sequoiacrank-edge/src/exchange/choice.rs
+++ b/sequoiacrank-edge/src/exchange/choice.rs
@@ -101,8 +101,8 @@
             self.host.facts.borrow().fleet.wait(self.host.clock.now(), &self.service, self.rank);
         match wait {
             Some(wait) => refusal::Refusal {
-                code: code::Code::QueueFull,
                 retry_after: Some(wait + wait.mul_f64(rand::random::<f64>() * RETRY_SPREAD)),
+                ..refusal::Refusal::new(code::Code::QueueFull)
             },
             None => refusal::Refusal::retry_soon(code::Code::NoEndpoint),
         }
--- a/sequoiacrank-edge/src/exchange/mod.rs
+++ b/sequoiacrank-edge/src/exchange/mod.rs
@@ -16,7 +16,6 @@
 use std::sync;
 use std::time;
 
-use bytes::Bytes;
 use hyper::body;
 use sequoiacrank_adapter::call;
 use sequoiacrank_adapter::ingress;
@@ -33,6 +32,7 @@
 use crate::front;
 use crate::host;
 use crate::in_flight;
+use crate::memory::blocks;
 use crate::refusal;
 use crate::stages;
 use crate::stop;
@@ -63,7 +63,7 @@
     uri: http::Uri,
     /// Headers that are forwarded to endpoints.
     forwarded: http::HeaderMap,
-    body: Bytes,
+    body: blocks::Blocks,
     /// What identifies the request if it crashes endpoints.
     identity: crash::Request,
     pub(crate) began: id::Time,
@@ -292,7 +292,7 @@
         self.host.metrics.latency.with_label_values(&[route]).observe(took.as_secs_f64());
         let is_stream =
             self.route.kind == catalog::Kind::Stream && upstream.head.status.is_success();
-        let mut answer = http::Response::new(Body::Full(None));
+        let mut answer = http::Response::new(Body::empty());
         *answer.status_mut() = upstream.head.status;
         *answer.headers_mut() = ingress::end_to_end(&upstream.head.headers);
         if is_stream {
@@ -303,7 +303,7 @@
         }
         let Upstream { connection, body, call, decoded, head } = upstream;
         let left = self.time_left();
-        let result = tokio::time::timeout(left, client::read_body(body)).await;
+        let result = tokio::time::timeout(left, client::read_body(&self.host.memory, body)).await;
         let body = match result.unwrap_or(Err(client::Error::Timeout)) {
             Ok(body) => body,
             Err(err) => {
--- a/sequoiacrank-edge/src/exchange/send.rs
+++ b/sequoiacrank-edge/src/exchange/send.rs
@@ -4,7 +4,6 @@
 use std::net;
 use std::time;
 
-use bytes::Bytes;
 use hyper::body;
 use sequoiacrank_adapter::call;
 use sequoiacrank_kernel::code;
@@ -19,6 +18,7 @@
 use crate::exchange::suspect;
 use crate::host;
 use crate::in_flight;
+use crate::memory::blocks;
 
 /// Fractions of the target latency after which a repeatable request without an answer goes to
 /// another endpoint: for plain requests, and for streams. A stream goes earlier, as the new
@@ -220,6 +220,8 @@
             client::Error::Timeout if self.time_left() < exchange::MIN_TIME_LEFT => {
                 (fleet::End::Bad, code::Code::Deadline)
             }
+            // The endpoint is sound; this host gave its answer up.
+            client::Error::NoRoom => (fleet::End::Cancelled, code::Code::OutcomeLost),
             client::Error::Timeout => (fleet::End::Silent, code::Code::StageFailed),
             client::Error::Broken(_) | client::Error::TooLarge => {
                 (fleet::End::Broken, code::Code::OutcomeLost)
@@ -242,7 +244,7 @@
     }
 
     /// The request to an endpoint.
-    fn build_request(&self, endpoint: &str, resume: Option<u64>) -> http::Request<Bytes> {
+    fn build_request(&self, endpoint: &str, resume: Option<u64>) -> http::Request<blocks::Blocks> {
         let results = self.results.borrow();
         let workspace_rank = self.workspace.as_ref().and_then(|it| it.rank);
         let urgency = workspace_rank.unwrap_or(self.route.rank);
--- a/sequoiacrank-edge/src/exchange/work.rs
+++ b/sequoiacrank-edge/src/exchange/work.rs
@@ -58,8 +58,8 @@
                 log::warn!(target: "request", id, took, reason = reason.as_str(); "stages refused");
                 match refusal {
                     stages::Refusal::Late(after) => Err(refusal::Refusal {
-                        code: code::Code::TooSlow,
                         retry_after: Some(after),
+                        ..refusal::Refusal::new(code::Code::TooSlow)
                     }),
                     stages::Refusal::Failed => {
                         Err(refusal::Refusal::retry_soon(code::Code::QueueFull))
--- a/sequoiacrank-edge/src/front.rs
+++ b/sequoiacrank-edge/src/front.rs
@@ -2,7 +2,6 @@
 
 use std::convert;
 use std::future;
-use std::io;
 use std::pin;
 use std::rc;
 use std::time;
@@ -11,7 +10,6 @@
 use hyper::body;
 use hyper::server::conn::http1;
 use hyper::service;
-use hyper_util::rt;
 use sequoiacrank_adapter::ingress;
 use sequoiacrank_kernel::edge::catalog;
 use tokio::net::TcpListener;
@@ -23,6 +21,8 @@
 use crate::exchange;
 use crate::host;
 use crate::idle;
+use crate::memory;
+use crate::memory::listener;
 use crate::stop;
 
 /// Limits on callers until a configuration sets them.
@@ -36,6 +36,8 @@
 const MIN_HEAD_BYTES: usize = 8192;
 /// Maximum number of headers of a request.
 const MAX_HEADERS: usize = 200;
+/// Maximum size in bytes of the head of a request for a page.
+const MAX_PAGE_HEAD: usize = 16 << 10;
 /// Pause after a connection could not be accepted.
 const ACCEPT_BACKOFF: time::Duration = time::Duration::from_millis(50);
 
@@ -43,7 +45,9 @@
 pub fn update_limits(host: &host::Host) {
     let limits = host.facts.borrow().catalog.as_ref().map(|catalog| catalog.limits);
     let Some(limits) = limits else { return };
-    host.limits.send_if_modified(|old| std::mem::replace(old, limits) != limits);
+    if host.limits.send_if_modified(|old| std::mem::replace(old, limits) != limits) {
+        host.memory.set_largest(limits.body_bytes);
+    }
 }
 
 async fn accept(listener: &TcpListener) -> TcpStream {
@@ -72,6 +76,9 @@
         return;
     }
     let idle = idle::Idle::new(&host);
+    let unused = idle.clone();
+    let unused_since: listener::IdleSince = Box::new(move || unused.unused_since());
+    let Some(place) = listener::admit_caller(&host.memory, unused_since) else { return };
     let handler = service::service_fn(|request| {
         let (host, busy) = (host.clone(), idle.begin());
         async move {
@@ -96,6 +103,14 @@
             connection.as_mut().graceful_shutdown();
             finish(connection, &idle).await
         }
+        () = place.closed() => match idle.unused_since() {
+            Some(_) => Ok(()),
+            // A request has arrived since.
+            None => {
+                connection.as_mut().graceful_shutdown();
+                finish(connection, &idle).await
+            }
+        },
         () = host.stop.reached(stop::Phase::Closing), if !is_closing => {
             connection.as_mut().graceful_shutdown();
             finish(connection, &idle).await
@@ -136,28 +151,60 @@
 }
 
 /// Serves a listener with `handler` until the process ends.
-async fn serve_pages<F>(listener: TcpListener, handler: F)
-where
+async fn serve_pages<F>(
+    host: rc::Rc<host::Host>,
+    listener: TcpListener,
+    list: fn(&memory::Memory) -> &listener::Listener,
+    handler: F,
+) where
     F: Fn(&http::Request<body::Incoming>) -> PlainAnswer + Clone + 'static,
 {
     loop {
         let stream = accept(&listener).await;
-        let handler = handler.clone();
-        let answer = service::service_fn(move |request| {
-            future::ready(Ok::<_, convert::Infallible>(handler(&request)))
-        });
-        task::spawn_local(async move {
-            let builder = http1::Builder::new();
-            // Errors are ignored, as clients of these pages poll them.
-            let _ = builder.serve_connection(rt::TokioIo::new(stream), answer).await;
-        });
+        if let Err(err) = client::configure_socket(&stream) {
+            log::info!(target: "front", err = err.to_string().as_str(); "setting socket options failed");
+            continue;
+        }
+        let idle = idle::Idle::new(&host);
+        let last = idle.clone();
+        // Also closes connections whose head has begun, as it may never end.
+        let idle_since: listener::IdleSince = Box::new(move || last.since());
+        let place = listener::admit(&host.memory, list, listener::MAX_PAGES, idle_since);
+        let Some(place) = place else { continue };
+        task::spawn_local(serve_page_connection(stream, idle, place, handler.clone()));
+    }
+}
+
+/// Serves a connection to a listener for pages until it ends, or has to make room.
+async fn serve_page_connection<F>(
+    stream: TcpStream,
+    idle: idle::Idle,
+    place: listener::Place,
+    handler: F,
+) where
+    F: Fn(&http::Request<body::Incoming>) -> PlainAnswer,
+{
+    let busy = idle.clone();
+    let answer = service::service_fn(move |request| {
+        let _busy = busy.begin();
+        future::ready(Ok::<_, convert::Infallible>(handler(&request)))
+    });
+    let connection = http1::Builder::new()
+        .max_buf_size(MAX_PAGE_HEAD)
+        .serve_connection(idle::Stream::new(stream, idle), answer);
+    tokio::select! {
+        biased;
+        // Errors are ignored, as clients of these pages poll them.
+        _ = connection => {}
+        () = place.closed() => {}
     }
 }
 
 /// Answers the load balancer's health checks. The host is ready once it knows which other hosts are
 /// alive and has a configuration and an endpoint, and as long as it is not stopping.
 pub async fn readiness(host: rc::Rc<host::Host>, listener: TcpListener) {
-    serve_pages(listener, move |request| {
+    let state = host.clone();
+    let page = move |request: &http::Request<body::Incoming>| {
         let is_settled = host.peers.settling_time(&host).is_none();
         let is_ready = is_settled && host.facts.borrow().ready() && !host.stop.is_leaving();
         let status = match (ingress::is_readiness(request.uri().path()), is_ready) {
@@ -166,35 +213,22 @@
             (true, false) => http::StatusCode::SERVICE_UNAVAILABLE,
         };
         plain_answer(status, Vec::new())
-    })
-    .await;
+    };
+    serve_pages(state, listener, |memory| &memory.readiness, page).await;
 }
 
 /// Serves the metrics page.
 pub async fn metrics(host: rc::Rc<host::Host>, listener: TcpListener) {
-    serve_pages(listener, move |_| match host.metrics.text(host.pool.opened()) {
-        Ok(text) => plain_answer(http::StatusCode::OK, text),
-        Err(err) => {
+    let state = host.clone();
+    let page = move |_: &http::Request<body::Incoming>| {
+        let text = host.metrics.text(host.pool.opened(), &host.memory);
+        text.map(|text| plain_answer(http::StatusCode::OK, text)).unwrap_or_else(|err| {
             log::error!(target: "front", err = err.to_string().as_str(); "metrics cannot be encoded");
             plain_answer(http::StatusCode::INTERNAL_SERVER_ERROR, Vec::new())
-        }
-    })
-    .await;
+        })
+    };
+    serve_pages(state, listener, |memory| &memory.metrics, page).await;
 }
 
 /// The answer to a caller.
 pub type Answer = http::Response<Body>;
-
-/// Reads the complete body of a request; `None` if it is larger than `max_bytes`.
-///
-/// # Errors
-///
-/// When the connection breaks.
-pub async fn read_body(body: &mut body::Incoming, max_bytes: usize) -> io::Result<Option<Bytes>> {
-    use http_body_util::BodyExt as _;
-    match http_body_util::Limited::new(body, max_bytes).collect().await {
-        Ok(body) => Ok(Some(body.to_bytes())),
-        Err(err) if err.is::<http_body_util::LengthLimitError>() => Ok(None),
-        Err(err) => Err(io::Error::other(err)),
-    }
-}
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -26,6 +26,7 @@
 use crate::duties;
 use crate::facts;
 use crate::front;
+use crate::memory;
 use crate::metrics;
 use crate::notices;
 use crate::peer;
@@ -88,6 +89,8 @@
     source: SettingsSource,
     /// Clock of the process.
     pub clock: clock::Clock,
+    /// Memory that connections hold.
+    pub memory: rc::Rc<memory::Memory>,
     /// Connections to endpoints and to the store.
     pub pool: client::Pool,
     /// What this host knows from the store.
@@ -120,6 +123,7 @@
     fn new(settings: edge::Settings, source: SettingsSource) -> Self {
         let clock = clock::Clock::new();
         let process = rand::random();
+        let memory = memory::Memory::new(clock, &settings);
         let own = statement::Statement::first(
             settings.peer,
             process,
@@ -129,7 +133,8 @@
         Host {
             clock,
             process,
-            pool: client::Pool::new(clock),
+            pool: client::Pool::new(clock, memory.clone()),
+            memory,
             facts: cell::RefCell::new(facts::Facts::with_seed(rand::random())),
             limits: watch::Sender::new(front::DEFAULT_LIMITS),
             batcher: batcher::Batcher::default(),
@@ -361,6 +366,7 @@
     task::spawn_local(duties::follow(host.clone()));
     task::spawn_local(batcher::poll_schedulers(host.clone()));
     task::spawn_local(housekeeping(host.clone()));
+    task::spawn_local(memory::pressure::follow(host.memory.clone()));
     stop::wait(&host).await.map_err(|err| Error::Io("signals", err))?;
     log::info!(target: "process", "stopped");
     Ok(())
--- a/sequoiacrank-edge/src/idle.rs
+++ b/sequoiacrank-edge/src/idle.rs
@@ -15,6 +15,7 @@
 
 use crate::body;
 use crate::host;
+use crate::memory::blocks;
 
 /// Shortest limit, so that a limit of zero does not keep the process busy.
 const MIN_LIMIT: time::Duration = time::Duration::from_millis(100);
@@ -30,6 +31,9 @@
     since: cell::Cell<Option<id::Time>>,
     /// Whether bytes wait to be written.
     blocked: cell::Cell<bool>,
+    /// Whether bytes were read since the last request began to be served. Outside a request these
+    /// are the beginning of a head.
+    head_begun: cell::Cell<bool>,
 }
 
 /// A request in progress. The connection is idle again when this is dropped.
@@ -38,6 +42,8 @@
 impl Drop for Busy {
     fn drop(&mut self) {
         let state = &self.0.0;
+        // What was read until now belongs to the request that ends.
+        state.head_begun.set(false);
         state.since.set(Some(state.host.clock.now()));
     }
 }
@@ -52,7 +58,12 @@
     /// A connection that is idle from now on.
     pub fn new(host: &rc::Rc<host::Host>) -> Self {
         let since = cell::Cell::new(Some(host.clock.now()));
-        Idle(rc::Rc::new(State { host: host.clone(), since, blocked: cell::Cell::new(false) }))
+        Idle(rc::Rc::new(State {
+            host: host.clone(),
+            since,
+            blocked: cell::Cell::new(false),
+            head_begun: cell::Cell::new(false),
+        }))
     }
 
     /// Begins a request.
@@ -63,8 +74,18 @@
 
     /// Time for which the connection has been idle; `None` if it is not.
     fn time(&self) -> Option<time::Duration> {
-        let since = self.0.since.get().filter(|_| !self.0.blocked.get())?;
-        Some(self.0.host.clock.now().saturating_sub(since))
+        self.since().map(|since| self.0.host.clock.now().saturating_sub(since))
+    }
+
+    /// Since when the connection is idle by the rules of HTTP: no request has begun on it, and no
+    /// bytes wait to be written. `None` if it is not.
+    pub fn unused_since(&self) -> Option<id::Time> {
+        self.since().filter(|_| !self.0.head_begun.get())
+    }
+
+    /// Since when no request is being served and no bytes wait to be written.
+    pub fn since(&self) -> Option<id::Time> {
+        self.0.since.get().filter(|_| !self.0.blocked.get())
     }
 
     /// Waits until the connection has been idle for the time that `limit` takes from the newest
@@ -131,7 +152,11 @@
         cx: &mut task::Context<'_>,
         buffer: hyper::rt::ReadBufCursor<'_>,
     ) -> task::Poll<io::Result<()>> {
-        pin::Pin::new(&mut self.stream).poll_read(cx, buffer)
+        let read = pin::Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if read.is_ready() {
+            self.idle.0.head_begun.set(true);
+        }
+        read
     }
 }
 
@@ -183,13 +208,13 @@
 }
 
 impl hyper::body::Body for Body {
-    type Data = bytes::Bytes;
+    type Data = blocks::Chunk;
     type Error = body::StreamError;
 
     fn poll_frame(
         mut self: pin::Pin<&mut Self>,
         cx: &mut task::Context<'_>,
-    ) -> task::Poll<Option<Result<Frame<bytes::Bytes>, body::StreamError>>> {
+    ) -> task::Poll<Option<Result<Frame<blocks::Chunk>, body::StreamError>>> {
         pin::Pin::new(&mut self.body).poll_frame(cx)
     }
 
--- a/sequoiacrank-edge/src/lib.rs
+++ b/sequoiacrank-edge/src/lib.rs
@@ -18,6 +18,7 @@
 mod idle;
 mod in_flight;
 pub mod logs;
+mod memory;
 mod metrics;
 mod moves;
 mod notices;
--- a/sequoiacrank-edge/src/metrics.rs
+++ b/sequoiacrank-edge/src/metrics.rs
@@ -2,6 +2,8 @@
 
 use prometheus::Encoder as _;
 
+use crate::memory;
+
 /// Upper bounds of the latency histogram's buckets in seconds. They lie around the target latencies
 /// of plain requests and of the first events of streams.
 const LATENCY_BUCKETS: [f64; 12] =
@@ -34,6 +36,10 @@
     pub records_told: prometheus::IntCounter,
     dropped: prometheus::IntGauge,
     opened: prometheus::IntGauge,
+    held: prometheus::IntGauge,
+    budget: prometheus::IntGauge,
+    refused: prometheus::IntCounterVec,
+    connections: prometheus::IntGaugeVec,
 }
 
 /// Adds a metric to a registry. It panics if the name is invalid or taken, as all names are
@@ -106,6 +112,22 @@
                 &registry,
                 gauge("connections_opened", "Connections opened since the start"),
             ),
+            held: register(&registry, gauge("memory_held_bytes", "Memory that connections hold")),
+            budget: register(
+                &registry,
+                gauge("memory_budget_bytes", "Memory that connections may hold"),
+            ),
+            refused: register(
+                &registry,
+                counters("memory_refused_total", "Given up for lack of room", &["cause"]),
+            ),
+            connections: register(
+                &registry,
+                prometheus::IntGaugeVec::new(
+                    opts("connections_open", "Open connections by listener"),
+                    &["listener"],
+                ),
+            ),
             registry,
         }
     }
@@ -116,11 +138,31 @@
     /// # Errors
     ///
     /// When a metric can't be encoded.
-    pub fn text(&self, opened: u64) -> prometheus::Result<Vec<u8>> {
+    pub fn text(&self, opened: u64, memory: &memory::Memory) -> prometheus::Result<Vec<u8>> {
         self.dropped.set(i64::try_from(crate::logs::dropped()).unwrap_or(i64::MAX));
         self.opened.set(i64::try_from(opened).unwrap_or(i64::MAX));
+        self.update_memory(memory);
         let mut text = Vec::new();
         prometheus::TextEncoder::new().encode(&self.registry.gather(), &mut text)?;
         Ok(text)
     }
+
+    fn update_memory(&self, memory: &memory::Memory) {
+        let gauge = |bytes: usize| i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.held.set(gauge(memory.held()));
+        self.budget.set(gauge(memory.budget()));
+        for (cause, count) in memory.pressure.counts() {
+            let counter = self.refused.with_label_values(&[cause.name()]);
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
+        let listeners = [
+            ("callers", &memory.callers),
+            ("readiness", &memory.readiness),
+            ("metrics", &memory.metrics),
+            ("hosts", &memory.hosts),
+        ];
+        for (name, listener) in listeners {
+            self.connections.with_label_values(&[name]).set(gauge(listener.open()));
+        }
+    }
 }
--- a/sequoiacrank-edge/src/peer/mod.rs
+++ b/sequoiacrank-edge/src/peer/mod.rs
@@ -5,8 +5,11 @@
 //! what each is sent.
 
 mod link;
+mod reader;
 pub mod wire;
 
+pub use reader::listen;
+
 use std::cell;
 use std::collections;
 use std::fmt;
@@ -14,23 +17,16 @@
 use std::rc;
 use std::time;
 
-use bytes::BytesMut;
 use sequoiacrank_kernel::edge::members;
 use sequoiacrank_kernel::edge::members::gossip;
 use sequoiacrank_kernel::edge::members::statement;
 use sequoiacrank_kernel::id;
-use tokio::io::AsyncReadExt as _;
-use tokio::net::TcpListener;
-use tokio::net::TcpStream;
 use tokio::task;
 
-use crate::client;
 use crate::duties;
 use crate::host;
 use crate::notices;
 
-/// Pause after a connection could not be accepted.
-const ACCEPT_BACKOFF: time::Duration = time::Duration::from_millis(200);
 /// Time after which an unused connection is closed: several intervals of heartbeats.
 const IDLE_TIMEOUT: time::Duration = time::Duration::from_secs(10);
 /// Maximum number of host addresses in one log line. If more hosts change at once, their count is
@@ -283,50 +279,6 @@
     }
 }
 
-/// Accepts connections of other hosts and handles their messages.
-pub async fn listen(host: rc::Rc<host::Host>, listener: TcpListener) {
-    let mut connection = 0;
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                connection += 1;
-                task::spawn_local(read(host.clone(), stream, connection));
-            }
-            Err(err) => {
-                log::warn!(target: "hosts", err = err.to_string().as_str(); "accept failed");
-                tokio::time::sleep(ACCEPT_BACKOFF).await;
-            }
-        }
-    }
-}
-
-/// Reads a connection to its end and records the end.
-async fn read(host: rc::Rc<host::Host>, stream: TcpStream, connection: u64) {
-    read_frames(&host, stream, connection).await;
-    host.peers.members.borrow_mut().record_closed(connection);
-}
-
-/// Handles messages until the connection ends.
-async fn read_frames(host: &rc::Rc<host::Host>, mut stream: TcpStream, connection: u64) {
-    let mut buffer = BytesMut::new();
-    if client::configure_socket(&stream).is_err() {
-        return;
-    }
-    loop {
-        match wire::decode(&mut buffer) {
-            Ok(Some(frame)) => receive(host, frame, connection),
-            Ok(None) => match stream.read_buf(&mut buffer).await {
-                Ok(0) | Err(_) => return,
-                Ok(_) => {}
-            },
-            Err(err) => {
-                log::warn!(target: "hosts", err = err.to_string().as_str(); "message cannot be decoded");
-                return;
-            }
-        }
-    }
-}
-
 /// Handles one message.
 fn receive(host: &rc::Rc<host::Host>, mut frame: wire::Frame, connection: u64) {
     let address = match frame.from.parse() {
--- /dev/null
+++ b/sequoiacrank-edge/src/peer/reader.rs
@@ -0,0 +1,168 @@
+//! Incoming connections of other hosts.
+
+use std::cell;
+use std::rc;
+use std::time;
+
+use bytes::BytesMut;
+use quick_error::quick_error;
+use sequoiacrank_kernel::edge::memory as account;
+use sequoiacrank_kernel::id;
+use tokio::io::AsyncReadExt as _;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task;
+
+use crate::client;
+use crate::host;
+use crate::memory;
+use crate::memory::listener;
+use crate::memory::pressure;
+use crate::peer;
+use crate::peer::wire;
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_BACKOFF: time::Duration = time::Duration::from_millis(200);
+/// Smallest buffer for messages in bytes; most messages are shorter.
+const MIN_BUFFER: usize = 4 << 10;
+/// Size in bytes from which on a buffer is released after its message.
+const MAX_KEPT_BUFFER: usize = 64 << 10;
+
+/// Accepts connections of other hosts and handles their messages.
+pub async fn listen(host: rc::Rc<host::Host>, listener: TcpListener) {
+    let mut connection = 0;
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                connection += 1;
+                accept(&host, stream, connection);
+            }
+            Err(err) => {
+                log::warn!(target: "hosts", err = err.to_string().as_str(); "accept failed");
+                tokio::time::sleep(ACCEPT_BACKOFF).await;
+            }
+        }
+    }
+}
+
+/// Starts to read a connection if there is a place for it.
+fn accept(host: &rc::Rc<host::Host>, stream: TcpStream, connection: u64) {
+    let known = host.peers.members().known_hosts();
+    let bound = known * listener::CONNECTIONS_PER_HOST + listener::MAX_UNKNOWN_HOSTS;
+    let last_read = rc::Rc::new(cell::Cell::new(Some(host.clock.now())));
+    let since = last_read.clone();
+    let since: listener::IdleSince = Box::new(move || since.get());
+    let place = listener::admit(&host.memory, |memory| &memory.hosts, bound, since);
+    if let Some(place) = place {
+        task::spawn_local(read(host.clone(), stream, connection, place, last_read));
+    }
+}
+
+/// Reads a connection until it ends or has to make room, and records the end.
+async fn read(
+    host: rc::Rc<host::Host>,
+    stream: TcpStream,
+    connection: u64,
+    place: listener::Place,
+    last_read: rc::Rc<cell::Cell<Option<id::Time>>>,
+) {
+    let result = tokio::select! {
+        biased;
+        result = read_frames(&host, stream, connection, &last_read) => result,
+        () = place.closed() => Ok(()),
+    };
+    if let Err(err) = result {
+        if matches!(err, Error::NoRoom) {
+            host.memory.pressure.record(pressure::Cause::MessageLost);
+        }
+        log::warn!(target: "hosts", err = err.to_string().as_str(); "connection closed");
+    }
+    host.peers.members.borrow_mut().record_closed(connection);
+}
+
+quick_error! {
+    /// Why a connection was closed.
+    #[derive(Debug)]
+    enum Error {
+        /// A message cannot be decoded.
+        Message(error: wire::Error) {
+            from()
+            display("message cannot be decoded: {error}")
+            source(error)
+        }
+        /// There is no memory for a message.
+        NoRoom {
+            display("no memory for a message")
+        }
+    }
+}
+
+/// The bytes of a connection that belong to no complete message yet.
+struct Buffer {
+    bytes: BytesMut,
+    /// Bytes that `lease` holds.
+    held: usize,
+    lease: memory::Lease,
+}
+
+impl Buffer {
+    /// Makes room for more bytes once there is memory for them.
+    async fn reserve(&mut self) -> Result<(), memory::NoRoom> {
+        if self.bytes.is_empty() && self.held > MAX_KEPT_BUFFER {
+            self.bytes = BytesMut::new();
+            self.lease.shrink(std::mem::take(&mut self.held));
+        }
+        if self.bytes.len() < self.bytes.capacity() {
+            return Ok(());
+        }
+        let left = missing(&self.bytes);
+        let more = self.bytes.len().min(left).max(MIN_BUFFER);
+        let capacity = self.bytes.len() + more;
+        self.lease.grow(capacity.saturating_sub(self.held)).await?;
+        self.held = self.held.max(capacity);
+        self.bytes.reserve(more);
+        Ok(())
+    }
+}
+
+/// Number of bytes that are missing from the message that `buffer` begins with; 0 if that is not
+/// known.
+fn missing(buffer: &[u8]) -> usize {
+    let length = buffer.first_chunk::<{ wire::PREFIX_SIZE }>();
+    let length = length.map(|prefix| u32::from_be_bytes(*prefix) as usize + wire::PREFIX_SIZE);
+    length.map_or(0, |length| length.saturating_sub(buffer.len()))
+}
+
+/// Handles messages until the connection ends. `last_read` is when bytes arrived last.
+async fn read_frames(
+    host: &rc::Rc<host::Host>,
+    mut stream: TcpStream,
+    connection: u64,
+    last_read: &cell::Cell<Option<id::Time>>,
+) -> Result<(), Error> {
+    let lease = host.memory.lease(account::Class::Small);
+    let mut buffer = Buffer { bytes: BytesMut::new(), held: 0, lease };
+    if let Err(err) = client::configure_socket(&stream) {
+        log::info!(target: "hosts", err = err.to_string().as_str(); "setting socket options failed");
+        return Ok(());
+    }
+    loop {
+        if let Some(frame) = wire::decode(&mut buffer.bytes)? {
+            peer::receive(host, frame, connection);
+            continue;
+        }
+        buffer.reserve().await.map_err(|memory::NoRoom| Error::NoRoom)?;
+        let is_partial = !buffer.bytes.is_empty();
+        let read = tokio::select! {
+            biased;
+            () = buffer.lease.evicted(), if is_partial => return Err(Error::NoRoom),
+            read = stream.read_buf(&mut buffer.bytes) => read,
+        };
+        // An error ends the connection like its regular end: the other host opens a new one.
+        if !matches!(read, Ok(1..)) {
+            return Ok(());
+        }
+        last_read.set(Some(host.clock.now()));
+        buffer.lease.record_progress();
+    }
+}
--- a/sequoiacrank-edge/src/peer/wire/mod.rs
+++ b/sequoiacrank-edge/src/peer/wire/mod.rs
@@ -41,7 +41,7 @@
 /// of all endpoints need.
 const MAX_LENGTH: usize = 16 << 20;
 /// Size of the length in front of each message, in bytes.
-const PREFIX_SIZE: usize = 4;
+pub const PREFIX_SIZE: usize = 4;
 
 /// One message with its sender.
 #[derive(Clone, PartialEq, prost::Message)]
--- a/sequoiacrank-edge/src/stream.rs
+++ b/sequoiacrank-edge/src/stream.rs
@@ -6,7 +6,6 @@
 use std::rc;
 use std::time;
 
-use bytes::Bytes;
 use http_body_util::BodyExt as _;
 use sequoiacrank_kernel::code;
 use sequoiacrank_kernel::edge::fleet;
@@ -19,6 +18,8 @@
 use crate::exchange;
 use crate::exchange::handover;
 use crate::host;
+use crate::memory::blocks;
+use crate::memory::queue;
 use crate::stop;
 
 /// Maximum number of events that are buffered until the caller reads them.
@@ -30,6 +31,8 @@
 const RESUME_PAUSE: time::Duration = time::Duration::from_millis(50);
 /// Reason in the logs for a stream that has stalled.
 const NO_EVENT: &str = "no event in time";
+/// Reason in the logs for a stream for which there was no memory until its deadline.
+const NO_MEMORY: &str = "no memory";
 /// How an endpoint's part of a stream ended.
 enum End<'a> {
     /// The endpoint ended the stream.
@@ -56,16 +59,17 @@
 async fn forward(
     exchange: rc::Rc<exchange::Exchange>,
     mut upstream: exchange::Upstream,
-    sender: mpsc::Sender<Result<Bytes, StreamError>>,
+    sender: mpsc::Sender<Result<blocks::Chunk, StreamError>>,
 ) {
     let status = upstream.head.status;
     let first_byte = exchange.host.clock.now().saturating_sub(exchange.began);
     let mut events = events::Events::after(exchange.head.resume);
+    let mut queue = queue::Queue::new(&exchange.host.memory);
     let id = exchange.head.attempt.as_str();
     loop {
         let end = tokio::select! {
             biased;
-            end = forward_events(&exchange, &mut upstream, &mut events, &sender) => end,
+            end = forward_events(&exchange, &mut upstream, &mut events, &mut queue, &sender) => end,
             () = exchange.host.stop.reached(stop::Phase::Ending) => End::Exit,
         };
         match end {
@@ -116,7 +120,7 @@
 /// Ends a stream before its last event, so that it does not look complete.
 async fn end_early(
     exchange: &exchange::Exchange,
-    sender: &mpsc::Sender<Result<Bytes, StreamError>>,
+    sender: &mpsc::Sender<Result<blocks::Chunk, StreamError>>,
 ) {
     let id = exchange.head.attempt.as_str();
     exchange.host.metrics.unanswered.with_label_values(&["truncated"]).inc();
@@ -188,7 +192,8 @@
     exchange: &'a exchange::Exchange,
     upstream: &mut exchange::Upstream,
     events: &mut events::Events,
-    sender: &mpsc::Sender<Result<Bytes, StreamError>>,
+    queue: &mut queue::Queue,
+    sender: &mpsc::Sender<Result<blocks::Chunk, StreamError>>,
 ) -> End<'a> {
     // Only complete events that are not comments reset this time. A stream that sends other bytes
     // can still stall.
@@ -258,17 +263,30 @@
                     return End::Broken(fleet::End::Broken, fault, send);
                 }
                 let rest = events.take_rest();
-                let is_complete = rest.is_empty() || sender.send(Ok(rest)).await.is_ok();
+                let is_complete = rest.is_empty() || write(queue, sender, &rest).await;
                 return if is_complete { End::Complete } else { End::CallerGone };
             }
         };
+        let held = tokio::select! {
+            biased;
+            () = sender.closed() => return End::CallerGone,
+            held = queue.hold_buffer(events.buffered() + bytes.len()) => held,
+            () = tokio::time::sleep(exchange.time_left()) => {
+                let send = handover.map(handover::Handover::into_send);
+                return End::Broken(fleet::End::Cancelled, NO_MEMORY, send);
+            }
+        };
+        if held.has_waited {
+            // The endpoint was not read meanwhile.
+            last_event = exchange.host.clock.now();
+        }
         events.push(&bytes);
         while let Some(event) = events.next() {
             // The first event shows that the endpoint has read its inputs, so the stage results can
             // be released.
             exchange.results.borrow_mut().take();
             let comment_only = events::is_comment(&event);
-            if sender.send(Ok(event)).await.is_err() {
+            if !write(queue, sender, &event).await {
                 return End::CallerGone;
             }
             if !comment_only {
@@ -277,9 +295,24 @@
                 last_event = exchange.host.clock.now();
             }
         }
+        queue.shrink_buffer(events.buffered());
         if let Some(fault) = events.fault() {
             let send = handover.map(handover::Handover::into_send);
             return End::Broken(fleet::End::Bad, fault, send);
         }
     }
 }
+
+/// Queues bytes for the caller once there is memory for them. Returns whether the caller is there.
+async fn write(
+    queue: &queue::Queue,
+    sender: &mpsc::Sender<Result<blocks::Chunk, StreamError>>,
+    bytes: &[u8],
+) -> bool {
+    let chunk = tokio::select! {
+        biased;
+        () = sender.closed() => return false,
+        chunk = queue.event(bytes) => chunk,
+    };
+    sender.send(Ok(chunk)).await.is_ok()
+}
--- a/sequoiacrank-edge/src/stream/events.rs
+++ b/sequoiacrank-edge/src/stream/events.rs
@@ -36,6 +36,11 @@
         self.buffer.extend_from_slice(bytes);
     }
 
+    /// Number of bytes that are buffered.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns the next complete event. Events that the caller already has, by their ids, are
     /// skipped, and so are comments before the first event of another endpoint. An event that does
     /// not continue the stream is a fault and is not returned.
