--- a/sequoiacrank-edge/src/peer/reader.rs
+++ b/sequoiacrank-edge/src/peer/reader.rs
@@ -24,7 +24,7 @@
 /// Pause after a connection could not be accepted.
 const ACCEPT_BACKOFF: time::Duration = time::Duration::from_millis(200);
 /// Smallest buffer for messages in bytes; most messages are shorter.
-const MIN_BUFFER: usize = 4 << 10;
+const MIN_BUFFER: usize = account::MESSAGE_BYTES;
 /// Size in bytes from which on a buffer is released after its message.
 const MAX_KEPT_BUFFER: usize = 64 << 10;
 
@@ -140,7 +140,7 @@
     connection: u64,
     last_read: &cell::Cell<Option<id::Time>>,
 ) -> Result<(), Error> {
-    let lease = host.memory.lease(account::Class::Small);
+    let lease = host.memory.lease(account::Class::Message);
     let mut buffer = Buffer { bytes: BytesMut::new(), held: 0, lease };
     if let Err(err) = client::configure_socket(&stream) {
         log::info!(target: "hosts", err = err.to_string().as_str(); "setting socket options failed");
--- a/sequoiacrank-kernel/src/edge/memory.rs
+++ b/sequoiacrank-kernel/src/edge/memory.rs
@@ -10,6 +10,8 @@
 
 /// Size in bytes up to which bodies may use the reserve.
 pub const SMALL_BYTES: usize = 64 << 10;
+/// Bytes of a message of another host that may use the reserve.
+pub const MESSAGE_BYTES: usize = 4 << 10;
 /// Time without progress after which an incomplete body may be evicted.
 pub const STALL_TIME: time::Duration = time::Duration::from_millis(500);
 /// Time for which a holder waits for room before it is refused.
@@ -35,8 +37,7 @@
 /// What a holder holds memory for, which decides how much of the budget it may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Class {
-    /// A body of at most [`SMALL_BYTES`], or a message of another host. It may use all of the
-    /// budget.
+    /// A body of at most [`SMALL_BYTES`]. It may use all of the budget.
     Small,
     /// A body of a request that is larger, or of which the size is unknown. It leaves room for
     /// answers: an answer without room is lost, while a request is only refused.
@@ -44,6 +45,21 @@
     /// An answer of an endpoint or of the store. Its first [`SMALL_BYTES`] may use all of the
     /// budget.
     Answer,
+    /// A message of another host. Its first [`MESSAGE_BYTES`] may use all of the budget, as most
+    /// messages are shorter. The rest leaves the reserve: anybody who reaches the address for hosts
+    /// can announce long messages.
+    Message,
+}
+
+impl Class {
+    /// Bytes of a holder that may use all of the budget.
+    fn reserved(self) -> usize {
+        match self {
+            Class::Small | Class::Answer => SMALL_BYTES,
+            Class::Message => MESSAGE_BYTES,
+            Class::Request => 0,
+        }
+    }
 }
 
 /// Outcome of a request for memory.
@@ -202,7 +218,7 @@
     /// budget, and none would get enough to end.
     pub fn request(&mut self, now: id::Time, id: HolderId, more: usize) -> Decision {
         let Some(holder) = self.holders.get(&id) else { return Decision::Refused };
-        let is_small = holder.class != Class::Request && holder.bytes + more <= SMALL_BYTES;
+        let is_small = holder.bytes + more <= holder.class.reserved();
         let ceiling = if is_small { self.budget } else { self.ceiling(holder.class) };
         let excess = (self.held + more).saturating_sub(ceiling);
         let (class, since) = (holder.class, holder.waiting.unwrap_or(now));
@@ -246,7 +262,7 @@
         let reserve = self.budget / RESERVE_DIVISOR;
         match class {
             Class::Small => self.budget,
-            Class::Answer => self.budget - reserve,
+            Class::Answer | Class::Message => self.budget - reserve,
             Class::Request => self.budget - 2 * reserve,
         }
     }
