--- a/sequoiacrank-edge/src/duties/api.rs
+++ b/sequoiacrank-edge/src/duties/api.rs
@@ -14,6 +14,7 @@
 use crate::client;
 use crate::duties;
 use crate::host;
+use crate::memory::blocks;
 
 /// Part of the rate of the API that a holder uses. Its successor may call within the same second.
 const RATE_PART: f64 = 0.5;
@@ -197,10 +198,11 @@
         return Err(Error::NotHeld);
     }
     let request = build(duty::Holder { host: &host.settings.host, token: *token })?;
+    let request = request.map(blocks::Blocks::from);
     let sent = duties::steady_now();
     let exchange = async {
         let (head, body) = connection.send(request).await?.into_parts();
-        if let Err(err) = client::read_body(body).await {
+        if let Err(err) = client::read_body(&host.memory, body).await {
             // The status counts nevertheless.
             log::debug!(target: "duties", err = err.to_string().as_str(); "body of an answer lost");
         }
--- a/sequoiacrank-kernel/tests/edge/main.rs
+++ b/sequoiacrank-kernel/tests/edge/main.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod lease;
 mod members;
+mod memory;
 mod mesh;
 mod moves;
 mod notices;
