Lease: one garbled read does not take the lease

A host that could not decode the record acquired the lease at once, although the record in the store may be intact and its holder alive. The holder lost the lease, and the committed windows and ordered counts were replaced by none. A record now has to stay unreadable for half of the period, within which a holder renews.

Measured: the new test lease::rules::garbled_read fails before the change; the tests of lease:: pass after it (release, kernel).

--- a/sequoiacrank-kernel/src/edge/duty/lease/acquire.rs
+++ b/sequoiacrank-kernel/src/edge/duty/lease/acquire.rs
@@ -45,7 +45,9 @@
         let view = self.view.as_ref()?;
         let (wait, why) = match &view.seen {
             lease::Seen::Missing => (id::Time::ZERO, lease::Why::Vacant),
-            lease::Seen::Unreadable => (id::Time::ZERO, lease::Why::Unreadable),
+            // A read may be garbled although the record is not. A holder that renews replaces the
+            // record meanwhile.
+            lease::Seen::Unreadable => (self.period / 2, lease::Why::Unreadable),
             lease::Seen::Record(record) if record.released => {
                 (id::Time::ZERO, lease::Why::Released)
             }
--- a/sequoiacrank-kernel/tests/edge/lease/rules.rs
+++ b/sequoiacrank-kernel/tests/edge/lease/rules.rs
@@ -136,6 +136,27 @@
     assert_eq!(world.token(0), token);
 }
 
+/// Guards against a single garbled answer of the store that takes the lease, and the state of the
+/// duties with it, from a holder that renews.
+#[test]
+fn garbled_read() {
+    let mut world = site(&[]);
+    let facts = world.facts(1);
+    let garbled = |world: &world::World| {
+        let end = world.records.len() as u64;
+        lease::Reading { end, offset: Some(end - 1), seen: lease::Seen::Unreadable }
+    };
+    let (now, reading) = (world.now, garbled(&world));
+    world.nodes[1].lease.record_read(now, now, reading.clone());
+    let action = world.nodes[1].lease.next(now, &facts);
+    assert!(!matches!(action, lease::Action::Append(_)), "acquires after one read: {action:?}");
+    // The record stays unreadable, so nobody renews it.
+    let now = now + world::PERIOD / 2;
+    world.nodes[1].lease.record_read(now, now, reading);
+    let action = world.nodes[1].lease.next(now, &facts);
+    assert!(matches!(action, lease::Action::Append(_)), "does not acquire: {action:?}");
+}
+
 /// Time after a release at which a host at this position acquires the lease.
 fn acquires_after(position: usize) -> Option<time::Duration> {
     let mut world = site(&[Event::Leave(0), Event::Run(0)]);
