Lease: an answer without the record is no sign of a new store

An item of a page that is malformed is left out, so the host saw a store without a record. It acquired the lease from a live holder, acted at once and began without the state of the duties. A topic that is not empty has a record, so its absence now counts as an unreadable one.

Measured: the new test lease::rules::record_left_out fails before the change; the tests of lease:: pass after it (release, kernel).

--- a/sequoiacrank-kernel/src/edge/duty/lease/acquire.rs
+++ b/sequoiacrank-kernel/src/edge/duty/lease/acquire.rs
@@ -44,10 +44,13 @@
         let position = facts.position?;
         let view = self.view.as_ref()?;
         let (wait, why) = match &view.seen {
-            lease::Seen::Missing => (id::Time::ZERO, lease::Why::Vacant),
-            // A read may be garbled although the record is not. A holder that renews replaces the
+            lease::Seen::Missing if view.end == 0 => (id::Time::ZERO, lease::Why::Vacant),
+            // The store keeps the newest record for ever, so an answer without it is incomplete. A
+            // read may be garbled although the record is not. A holder that renews replaces the
             // record meanwhile.
-            lease::Seen::Unreadable => (self.period / 2, lease::Why::Unreadable),
+            lease::Seen::Missing | lease::Seen::Unreadable => {
+                (self.period / 2, lease::Why::Unreadable)
+            }
             lease::Seen::Record(record) if record.released => {
                 (id::Time::ZERO, lease::Why::Released)
             }
--- a/sequoiacrank-kernel/tests/edge/lease/rules.rs
+++ b/sequoiacrank-kernel/tests/edge/lease/rules.rs
@@ -157,6 +157,26 @@
     assert!(matches!(action, lease::Action::Append(_)), "does not acquire: {action:?}");
 }
 
+/// Guards against an answer of the store that leaves out the record, because it is malformed, and is
+/// taken for a store without one: the holder would lose the lease to a host that acts at once.
+#[test]
+fn record_left_out() {
+    let mut world = site(&[]);
+    let facts = world.facts(1);
+    let end = world.records.len() as u64;
+    let reading = lease::Reading { end, offset: None, seen: lease::Seen::Missing };
+    let now = world.now;
+    world.nodes[1].lease.record_read(now, now, reading.clone());
+    let action = world.nodes[1].lease.next(now, &facts);
+    assert!(!matches!(action, lease::Action::Append(_)), "acquires after one read: {action:?}");
+    let now = now + world::PERIOD / 2;
+    world.nodes[1].lease.record_read(now, now, reading);
+    let action = world.nodes[1].lease.next(now, &facts);
+    assert!(matches!(action, lease::Action::Append(_)), "does not acquire: {action:?}");
+    world.nodes[1].lease.record_append(now, lease::Written::Done(end + 1));
+    assert_eq!(world.nodes[1].lease.token(now), None, "acts at once");
+}
+
 /// Time after a release at which a host at this position acquires the lease.
 fn acquires_after(position: usize) -> Option<time::Duration> {
     let mut world = site(&[Event::Leave(0), Event::Run(0)]);
