Usage: no second report of windows after an unreadable record

The next holder after an unreadable record did not know which windows were final. It made those final again of which it still had copies of counts, up to 30 s back, and reported them with other counts. It now leaves out windows that ended before it began, and records that for the next holder. The log names the last of them.

Measured: the new test usage::record_is_lost; the tests of lease::, usage:: and usage_holders:: pass (release, kernel).

--- a/sequoiacrank-edge/src/duties/usage/windows.rs
+++ b/sequoiacrank-edge/src/duties/usage/windows.rs
@@ -76,11 +76,25 @@
     let now = true_time::apply(offset, reading.steady);
     if state.holds.replace(token) != token {
         log::info!(target: "duties", token, offset, hosts = awaited.len(); "collecting usage");
-        state.ledger.borrow_mut().start(now);
+        start(host, state, now);
     }
     Some(now)
 }
 
+/// Begins to make windows final at the true time `now`.
+fn start(host: &host::Host, state: &usage::State, now: id::Time) {
+    let Some(lease) = &host.duties.lease else { return };
+    let mut lease = lease.borrow_mut();
+    if !lease.lacks_state() {
+        state.ledger.borrow_mut().start(now);
+        return;
+    }
+    if let Some(last) = state.ledger.borrow_mut().start_without_record(now) {
+        log::error!(target: "duties", window = last; "usage windows of an unreadable record get no report");
+        lease.update(|content| ledger::skip(content, last));
+    }
+}
+
 /// Commits windows that are complete and starts the calls that are due.
 fn check(host: &rc::Rc<host::Host>, state: &usage::State, token: duty::Token) {
     let awaited = awaited_hosts(host);
--- a/sequoiacrank-kernel/src/edge/duty/lease.rs
+++ b/sequoiacrank-kernel/src/edge/duty/lease.rs
@@ -114,7 +114,7 @@
 pub enum Why {
     /// There is no record.
     Vacant,
-    /// The record cannot be decoded.
+    /// The record cannot be decoded, or the store has left it out.
     Unreadable,
     /// The holder released the lease.
     Released,
@@ -217,6 +217,8 @@
     written: id::Time,
     /// Time from which this host may act.
     acts_at: id::Time,
+    /// Why this host acquired the lease.
+    why: Why,
     /// Why the lease is being released, and since when.
     releasing: Option<(Reason, id::Time)>,
 }
@@ -283,6 +285,11 @@
         self.held.as_ref().map(|held| &held.record.content)
     }
 
+    /// Whether this host acquired the lease without the state of the duties of earlier holders.
+    pub fn lacks_state(&self) -> bool {
+        self.held.as_ref().is_some_and(|held| held.why == Why::Unreadable)
+    }
+
     /// Changes the state of the duties, which the next write then commits. Does nothing if this host
     /// does not hold the lease.
     pub fn update<F>(&mut self, change: F)
--- a/sequoiacrank-kernel/src/edge/duty/lease/written.rs
+++ b/sequoiacrank-kernel/src/edge/duty/lease/written.rs
@@ -120,7 +120,8 @@
                 let draft = record.content.clone();
                 let written = started;
                 self.silence = None;
-                self.held = Some(lease::Held { record, draft, written, acts_at, releasing: None });
+                let releasing = None;
+                self.held = Some(lease::Held { record, draft, written, acts_at, why, releasing });
                 self.events.push(lease::Event::Taken { token, from, why });
             }
             lease::Purpose::Renew => {
--- a/sequoiacrank-kernel/src/edge/duty/usage/ledger.rs
+++ b/sequoiacrank-kernel/src/edge/duty/usage/ledger.rs
@@ -83,6 +83,8 @@
     /// Windows of which the commit is not acknowledged.
     pending: collections::BTreeMap<duty::WindowId, Commit>,
     calls: collections::BTreeMap<duty::WindowId, Calls>,
+    /// Last window that an unknown holder may have made final.
+    unknown: Option<duty::WindowId>,
     /// Last window whose report was given up.
     given_up: Option<duty::WindowId>,
 }
@@ -97,6 +99,7 @@
             since: id::Time::ZERO,
             pending: collections::BTreeMap::new(),
             calls: collections::BTreeMap::new(),
+            unknown: None,
             given_up: None,
         }
     }
@@ -104,10 +107,19 @@
     /// Begins the work of the holder, as this host has acquired the lease.
     pub fn start(&mut self, now: id::Time) {
         self.since = now;
+        self.unknown = None;
         self.pending.clear();
         self.calls.clear();
     }
 
+    /// Like [`Self::start`], without the record of the earlier holder. Windows that have ended may
+    /// have been reported with counts that are unknown, so they get no report. Returns the last one.
+    pub fn start_without_record(&mut self, now: id::Time) -> Option<duty::WindowId> {
+        self.start(now);
+        self.unknown = self.schedule.window_at(now).checked_sub(1);
+        self.unknown
+    }
+
     /// Merges a report. Reports may be lost, repeated and out of order.
     pub fn merge(
         &mut self,
@@ -149,7 +161,7 @@
     /// The window after the last one that is final, or the first one with requests, and how many
     /// before it are left out because they are too old to be reported.
     fn next_window(&self, now: id::Time, content: &duty::Content) -> Option<(duty::WindowId, u64)> {
-        let last = content.usage.keys().chain(self.pending.keys()).max();
+        let last = content.usage.keys().chain(self.pending.keys()).chain(&self.unknown).max();
         let has_requests = |counts: &map::FastMap<_, duty::Counts>| {
             counts.values().flat_map(|it| it.values()).any(|&count| count > 0)
         };
@@ -285,6 +297,12 @@
     });
 }
 
+/// Records that windows up to `last` get no report, so that the next holder makes none of them final.
+pub fn skip(content: &mut duty::Content, last: duty::WindowId) {
+    let window = duty::Window { reported: true, ..duty::Window::default() };
+    content.usage.entry(last).or_insert(window);
+}
+
 /// Marks a window as reported in the state of the duties.
 pub fn mark_reported(content: &mut duty::Content, window: duty::WindowId) {
     if let Some(it) = content.usage.get_mut(&window) {
--- a/sequoiacrank-kernel/tests/edge/usage.rs
+++ b/sequoiacrank-kernel/tests/edge/usage.rs
@@ -186,6 +186,28 @@
     assert_eq!((commits[0].skipped, commits[1].skipped), (6, 0));
 }
 
+/// Guards against a second report with other counts for windows that an earlier holder may have
+/// reported, after its record became unreadable.
+#[test]
+fn record_is_lost() {
+    let live = addresses(1);
+    let mut ledger = ledger::Ledger::new(SCHEDULE);
+    let list: &[(_, &[(&str, u64)])] = &[(0, &[("a", 3)]), (1, &[("a", 2)]), (2, &[("a", 1)])];
+    ledger.merge(live[0], 1, &report(16_000, list));
+    let last = ledger.start_without_record(site::ms(12_000)).expect("no window has ended");
+    assert_eq!(last, 1);
+    let mut content = duty::Content::default();
+    assert_eq!(windows(&ledger.commits(site::ms(16_000), &live, &content)), [2]);
+
+    // The same holds for the next holder, which has the record of this one.
+    ledger::skip(&mut content, last);
+    let mut next = ledger::Ledger::new(SCHEDULE);
+    next.merge(live[0], 1, &report(16_000, list));
+    next.start(site::ms(13_000));
+    assert_eq!(next.due(site::ms(13_000), &content), []);
+    assert_eq!(windows(&next.commits(site::ms(16_000), &live, &content)), [2]);
+}
+
 /// Guards against calls without pause while the platform does not answer, and against two calls for
 /// a window at once.
 #[test]
