--- a/sequoiacrank-kernel/src/edge/duty/lease/acquire.rs
+++ b/sequoiacrank-kernel/src/edge/duty/lease/acquire.rs
@@ -25,11 +25,15 @@
 impl lease::Lease {
     /// Decides what to do next without the lease.
     pub(super) fn next_free(&mut self, now: id::Time, facts: &lease::Facts) -> lease::Action {
-        let interval = if facts.vacant { self.tick() } else { self.period / 3 };
-        let reads = facts.position.is_some_and(|it| it < lease::READERS);
-        if !reads {
+        let Some(position) = facts.position.filter(|&it| it < lease::READERS) else {
             return lease::Action::Wait(now + self.period / 3);
-        }
+        };
+        let interval = match facts.vacant {
+            true => self.tick(),
+            false if position < lease::STANDBYS => self.period / 3,
+            // Calls to the store have a price, and these hosts act only if the standbys do not.
+            false => self.period,
+        };
         let read_due = self.read_at.map_or(now, |at| at + interval);
         match self.takeover(facts) {
             Some((at, why)) if now >= at => self.acquire(now, why),
