Usage: counts that come too late for their window are logged

Requests from before the true time was known vanished without a log line or a metric if their window was final by then. They now count as dropped (usage_dropped_total).

Measured: the new test usage::true_time_comes_too_late fails before the change; the tests of usage:: and usage_holders:: pass after it (release, kernel).

--- a/sequoiacrank-kernel/src/edge/duty/usage/meter.rs
+++ b/sequoiacrank-kernel/src/edge/duty/usage/meter.rs
@@ -140,6 +140,10 @@
         for (step, counts) in std::mem::take(&mut self.early) {
             let steady = EARLY_STEP.saturating_mul(u32::try_from(step).unwrap_or(u32::MAX));
             let window = self.schedule.window_at(true_time::apply(offset, steady));
+            if self.closed.is_some_and(|closed| window <= closed) {
+                self.dropped += counts.values().sum::<u64>();
+                continue;
+            }
             let sums = self.windows.entry(window).or_default();
             for (workspace, count) in counts {
                 *sums.entry(workspace).or_default() += count;
--- a/sequoiacrank-kernel/tests/edge/usage.rs
+++ b/sequoiacrank-kernel/tests/edge/usage.rs
@@ -95,6 +95,19 @@
     assert!(!alone.has_open());
 }
 
+/// Guards against requests that are lost without a log line, because their window was final before
+/// the host knew the true time.
+#[test]
+fn true_time_comes_too_late() {
+    let mut meter = meter::Meter::new(SCHEDULE);
+    meter.count(site::ms(100), "a");
+    meter.count(site::ms(5100), "a");
+    meter.close(0);
+    meter.set_offset(0);
+    assert_eq!(meter.expire(site::ms(6000)), 1);
+    assert!(meter.has_open());
+}
+
 /// Guards against counts of windows that are final, or too old, in reports.
 #[test]
 fn closed_windows() {
