--- a/sequoiacrank-config/src/edge.rs
+++ b/sequoiacrank-config/src/edge.rs
@@ -228,7 +228,7 @@
             () if reports && self.late.is_zero() => {
                 Some(format!("`duties` names {USAGE_DUTY:?} but `late` is zero"))
             }
-            () if reports && self.lease * 2 > self.late => {
+            () if reports && self.lease > self.late / 2 => {
                 Some("`lease` is over half of `late`, so a takeover would end too late".into())
             }
             () => None,
--- a/sequoiacrank-edge/src/duties/api.rs
+++ b/sequoiacrank-edge/src/duties/api.rs
@@ -117,7 +117,8 @@
     fn record_done(&self, now: id::Time, took: time::Duration) {
         self.failures.set(0);
         let pause = if took > SLOW_ANSWER { took } else { time::Duration::ZERO };
-        self.paused_until.set(now + pause);
+        // A call that failed meanwhile may have set a later time.
+        self.paused_until.set(self.paused_until.get().max(now + pause));
     }
 
     /// Records a failed call. Returns how long no call is sent.
