Quiet connections of hosts are not evicted

Under memory pressure, a connection of another host without a message for 500 ms was marked as evicted. It ignored that until its next message came in parts, and was then closed with "no memory for a message". Until then its buffer counted as about to be released, so no body was refused and no stalled body was evicted in its place: a legal body got 408 after 5 s.

A connection between two messages now counts as complete.

The new test failed before the change, and passed after it.

--- a/sequoiacrank-edge/src/memory/mod.rs
+++ b/sequoiacrank-edge/src/memory/mod.rs
@@ -178,6 +178,11 @@
         self.memory.account.borrow_mut().complete(self.id);
     }
 
+    /// Records that more bytes are expected, so that the lease may be evicted again.
+    pub fn resume(&self) {
+        self.memory.account.borrow_mut().resume(self.id);
+    }
+
     /// Waits until the lease is evicted.
     pub async fn evicted(&self) {
         self.evicted.notified().await;
--- a/sequoiacrank-edge/src/peer/reader.rs
+++ b/sequoiacrank-edge/src/peer/reader.rs
@@ -152,10 +152,15 @@
             continue;
         }
         buffer.reserve().await.map_err(|memory::NoRoom| Error::NoRoom)?;
-        let is_partial = !buffer.bytes.is_empty();
+        // A connection without a message is quiet, not stalled. If it were evicted, its memory would
+        // count as about to be released, and no body would be refused or evicted instead.
+        match buffer.bytes.is_empty() {
+            true => buffer.lease.complete(),
+            false => buffer.lease.resume(),
+        }
         let read = tokio::select! {
             biased;
-            () = buffer.lease.evicted(), if is_partial => return Err(Error::NoRoom),
+            () = buffer.lease.evicted() => return Err(Error::NoRoom),
             read = stream.read_buf(&mut buffer.bytes) => read,
         };
         // An error ends the connection like its regular end: the other host opens a new one.
--- a/sequoiacrank-kernel/src/edge/memory.rs
+++ b/sequoiacrank-kernel/src/edge/memory.rs
@@ -202,6 +202,13 @@
         }
     }
 
+    /// Records that more is expected of a complete holder, so that it may stall again.
+    pub fn resume(&mut self, id: HolderId) {
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.complete = false;
+        }
+    }
+
     /// Releases some of the bytes of a holder.
     pub fn release(&mut self, id: HolderId, bytes: usize) {
         if let Some(holder) = self.holders.get_mut(&id) {
