A request for no memory is granted at once

The buffer of a host's connection asks for 0 bytes when its own memory is only to be reused. With the budget used up this waited 250 ms and was refused, which closed the connection.

The new test failed before the change (a wait of 250 ms), and passed after it.

--- a/sequoiacrank-kernel/src/edge/memory.rs
+++ b/sequoiacrank-kernel/src/edge/memory.rs
@@ -225,6 +225,9 @@
     /// budget, and none would get enough to end.
     pub fn request(&mut self, now: id::Time, id: HolderId, more: usize) -> Decision {
         let Some(holder) = self.holders.get(&id) else { return Decision::Refused };
+        if more == 0 {
+            return Decision::Granted;
+        }
         let is_small = holder.bytes + more <= holder.class.reserved();
         let ceiling = if is_small { self.budget } else { self.ceiling(holder.class) };
         let excess = (self.held + more).saturating_sub(ceiling);
--- a/sequoiacrank-kernel/tests/edge/memory.rs
+++ b/sequoiacrank-kernel/tests/edge/memory.rs
@@ -181,6 +181,18 @@
     }
 }
 
+/// Guards against a connection of a host that is closed for lack of memory although it needs no more.
+#[test]
+fn nothing_more_is_granted_when_the_budget_is_used_up() {
+    let mut account = account();
+    let message = account.open(at(0), memory::Class::Message);
+    fill(&mut account, at(0), message, 2 * memory::MESSAGE_BYTES);
+    while account.has_connection_room() {
+        account.open_connection();
+    }
+    assert_eq!(account.request(at(0), message, 0), memory::Decision::Granted);
+}
+
 /// Guards against bodies that stall and keep their memory, and against a refusal while that memory
 /// is being released.
 #[test]
