The deadline bounds the wait of a stream for event memory

Streams that hold their buffers and wait for room for an event could wait for each other without end: only the wait for the buffer was bounded. The stream now breaks at the deadline of its request.

No test reproduces the deadlock; the tests of streams pass.

--- a/sequoiacrank-edge/src/stream.rs
+++ b/sequoiacrank-edge/src/stream.rs
@@ -263,8 +263,11 @@
                     return End::Broken(fleet::End::Broken, fault, send);
                 }
                 let rest = events.take_rest();
-                let is_complete = rest.is_empty() || write(queue, sender, &rest).await;
-                return if is_complete { End::Complete } else { End::CallerGone };
+                if rest.is_empty() {
+                    return End::Complete;
+                }
+                let written = write(exchange, queue, sender, &rest).await;
+                return written.err().unwrap_or(End::Complete);
             }
         };
         let held = tokio::select! {
@@ -286,8 +289,8 @@
             // be released.
             exchange.results.borrow_mut().take();
             let comment_only = events::is_comment(&event);
-            if !write(queue, sender, &event).await {
-                return End::CallerGone;
+            if let Err(end) = write(exchange, queue, sender, &event).await {
+                return end;
             }
             if !comment_only {
                 handover = None;
@@ -303,16 +306,25 @@
     }
 }
 
-/// Queues bytes for the caller once there is memory for them. Returns whether the caller is there.
+/// Queues bytes for the caller once there is memory for them. Streams that hold a buffer and wait
+/// here may wait for each other, so the deadline of the request bounds the time.
+///
+/// # Errors
+///
+/// How the stream ends if the caller is gone, or there is no memory until the deadline.
 async fn write(
+    exchange: &exchange::Exchange,
     queue: &queue::Queue,
     sender: &mpsc::Sender<Result<blocks::Chunk, StreamError>>,
     bytes: &[u8],
-) -> bool {
+) -> Result<(), End<'static>> {
     let chunk = tokio::select! {
         biased;
-        () = sender.closed() => return false,
+        () = sender.closed() => return Err(End::CallerGone),
         chunk = queue.event(bytes) => chunk,
+        () = tokio::time::sleep(exchange.time_left()) => {
+            return Err(End::Broken(fleet::End::Cancelled, NO_MEMORY, None));
+        }
     };
-    sender.send(Ok(chunk)).await.is_ok()
+    sender.send(Ok(chunk)).await.map_err(|_| End::CallerGone)
 }
