Lost messages of hosts are logged at the level info

Connections that end for lack of memory had a warning each, which anybody who reaches the address for hosts could cause without limit. They are counted in one warning a second.

--- a/sequoiacrank-edge/src/peer/reader.rs
+++ b/sequoiacrank-edge/src/peer/reader.rs
@@ -72,10 +72,15 @@
         () = place.closed() => Ok(()),
     };
     if let Err(err) = result {
-        if matches!(err, Error::NoRoom) {
-            host.memory.pressure.record(pressure::Cause::MessageLost);
-        }
-        log::warn!(target: "hosts", err = err.to_string().as_str(); "connection closed");
+        let level = match err {
+            Error::Message(_) => log::Level::Warn,
+            // Counted in one warning a second, as many connections may end at once.
+            Error::NoRoom => {
+                host.memory.pressure.record(pressure::Cause::MessageLost);
+                log::Level::Info
+            }
+        };
+        log::log!(target: "hosts", level, err = err.to_string().as_str(); "connection closed");
     }
     host.peers.members.borrow_mut().record_closed(connection);
 }
