Decisions on memory do not scan all holders

Each decision scanned all holders several times, and each release wakes all that wait. The event loop stopped for more than a second when thousands of bodies waited. The waiting, the stallable and the evicted holders are now kept in order.

--- a/sequoiacrank-kernel/src/edge/memory.rs
+++ b/sequoiacrank-kernel/src/edge/memory.rs
@@ -1,5 +1,6 @@
 //! Accounting of the memory that connections hold, and who gives way when the budget is used up.
 
+use std::collections;
 use std::time;
 
 use crate::id;
@@ -94,10 +95,14 @@
 }
 
 impl Holder {
-    /// When it counts as stalled; `None` if it cannot be evicted.
-    fn stalls_at(&self) -> Option<id::Time> {
-        let may_stall = !self.complete && !self.evicted && self.waiting.is_none() && self.bytes > 0;
-        may_stall.then_some(self.progressed + STALL_TIME)
+    /// Whether it may be evicted once it has made no progress for [`STALL_TIME`].
+    fn may_stall(&self) -> bool {
+        !self.complete && !self.evicted && self.waiting.is_none() && self.bytes > 0
+    }
+
+    /// Whether it is a large body that waits for room.
+    fn waits_for_turn(&self) -> bool {
+        self.class == Class::Request && self.waiting.is_some()
     }
 }
 
@@ -112,6 +117,13 @@
     largest: usize,
     held: usize,
     holders: map::FastMap<HolderId, Holder>,
+    /// Large bodies that wait for room. This and the next two sets are derived from `holders`, as a
+    /// decision must not take longer the more holders there are: a crowd asks all at once.
+    waiting: collections::BTreeSet<HolderId>,
+    /// Holders that may be evicted once they stall, longest without progress first.
+    stallable: collections::BTreeSet<(id::Time, HolderId)>,
+    /// Holders that were evicted and still hold memory.
+    evicted: collections::BTreeSet<HolderId>,
     next: HolderId,
 }
 
@@ -124,6 +136,9 @@
             largest: 0,
             held: 0,
             holders: map::FastMap::default(),
+            waiting: collections::BTreeSet::new(),
+            stallable: collections::BTreeSet::new(),
+            evicted: collections::BTreeSet::new(),
             next: 0,
         }
     }
@@ -185,37 +200,32 @@
     pub fn close(&mut self, id: HolderId) {
         if let Some(holder) = self.holders.remove(&id) {
             self.held = self.held.saturating_sub(holder.bytes);
+            self.waiting.remove(&id);
+            self.stallable.remove(&(holder.progressed, id));
+            self.evicted.remove(&id);
         }
     }
 
     /// Records that bytes of a holder arrived.
     pub fn record_progress(&mut self, now: id::Time, id: HolderId) {
-        if let Some(holder) = self.holders.get_mut(&id) {
-            holder.progressed = now;
-        }
+        self.update(id, |holder| holder.progressed = now);
     }
 
     /// Records that a body is complete.
     pub fn complete(&mut self, id: HolderId) {
-        if let Some(holder) = self.holders.get_mut(&id) {
-            holder.complete = true;
-        }
+        self.update(id, |holder| holder.complete = true);
     }
 
     /// Records that more is expected of a complete holder, so that it may stall again.
     pub fn resume(&mut self, id: HolderId) {
-        if let Some(holder) = self.holders.get_mut(&id) {
-            holder.complete = false;
-        }
+        self.update(id, |holder| holder.complete = false);
     }
 
     /// Releases some of the bytes of a holder.
     pub fn release(&mut self, id: HolderId, bytes: usize) {
-        if let Some(holder) = self.holders.get_mut(&id) {
-            let bytes = bytes.min(holder.bytes);
-            holder.bytes -= bytes;
-            self.held = self.held.saturating_sub(bytes);
-        }
+        let bytes = self.holders.get(&id).map_or(0, |holder| bytes.min(holder.bytes));
+        self.update(id, |holder| holder.bytes -= bytes);
+        self.held = self.held.saturating_sub(bytes);
     }
 
     /// Requests `more` bytes for a holder. A holder that is not known is refused.
@@ -231,8 +241,10 @@
         let is_small = holder.bytes + more <= holder.class.reserved();
         let ceiling = if is_small { self.budget } else { self.ceiling(holder.class) };
         let excess = (self.held + more).saturating_sub(ceiling);
-        let (class, since) = (holder.class, holder.waiting.unwrap_or(now));
-        if excess == 0 && !self.has_waiting_body(class, |other| other < id) {
+        let since = holder.waiting.unwrap_or(now);
+        let is_large = holder.class == Class::Request;
+        let is_turn = !is_large || self.waiting.first().is_none_or(|first| *first >= id);
+        if excess == 0 && is_turn {
             self.held += more;
             self.update(id, |holder| {
                 holder.bytes += more;
@@ -244,29 +256,23 @@
         self.update(id, |holder| holder.waiting = Some(since));
         let evicted = self.evict(now, excess);
         let deadline = since + ROOM_WAIT;
-        let is_last = !self.has_waiting_body(class, |other| other > id);
-        if now >= deadline && is_last && !self.holders.values().any(|it| it.evicted) {
+        let is_last = !is_large || self.waiting.last().is_none_or(|last| *last <= id);
+        if now >= deadline && is_last && self.evicted.is_empty() {
             self.update(id, |holder| {
                 holder.waiting = None;
                 holder.progressed = now;
             });
             return Decision::Refused;
         }
-        let stalls = self.holders.values().filter_map(Holder::stalls_at).min();
-        let until = stalls.map_or(deadline, |stalls| stalls.min(deadline));
+        // The others are woken when those before them get room, or those after them are refused.
+        let until = match self.stallable.first().filter(|_| is_turn) {
+            Some((progressed, _)) => deadline.min(*progressed + STALL_TIME),
+            None if !is_last && now >= deadline => now + ROOM_WAIT,
+            None => deadline,
+        };
         Decision::Wait { evicted, until: until.max(now + MIN_RETRY) }
     }
 
-    /// Whether a large body waits for room that `filter` accepts, if `class` is that of large
-    /// bodies.
-    fn has_waiting_body<F>(&self, class: Class, filter: F) -> bool
-    where
-        F: Fn(HolderId) -> bool,
-    {
-        let waits = |it: &Holder| it.class == Class::Request && it.waiting.is_some();
-        class == Class::Request && self.holders.iter().any(|(id, it)| filter(*id) && waits(it))
-    }
-
     /// Bytes of the budget up to which a class that is not small may fill it.
     fn ceiling(&self, class: Class) -> usize {
         let reserve = self.budget / RESERVE_DIVISOR;
@@ -281,29 +287,38 @@
     where
         F: FnOnce(&mut Holder),
     {
-        if let Some(holder) = self.holders.get_mut(&id) {
-            change(holder);
+        let Some(holder) = self.holders.get_mut(&id) else { return };
+        if holder.may_stall() {
+            self.stallable.remove(&(holder.progressed, id));
+        }
+        change(holder);
+        if holder.may_stall() {
+            self.stallable.insert((holder.progressed, id));
+        }
+        match holder.waits_for_turn() {
+            true => self.waiting.insert(id),
+            false => self.waiting.remove(&id),
+        };
+        if holder.evicted {
+            self.evicted.insert(id);
         }
     }
 
     /// Marks stalled holders as evicted, longest without progress first, until `bytes` will be
     /// released by them and by those evicted before.
     fn evict(&mut self, now: id::Time, bytes: usize) -> Vec<HolderId> {
-        let pending = self.holders.values().filter(|it| it.evicted).map(|it| it.bytes);
-        let mut freed: usize = pending.sum();
-        let stalled =
-            self.holders.iter().filter(|(_, it)| it.stalls_at().is_some_and(|at| at <= now));
-        let mut stalled: Vec<_> = stalled.map(|(id, it)| (it.progressed, *id, it.bytes)).collect();
-        stalled.sort_unstable();
+        let holders = &self.holders;
+        let held = |id: &HolderId| holders.get(id).map_or(0, |holder| holder.bytes);
+        let mut freed: usize = self.evicted.iter().map(held).sum();
         let mut evicted = Vec::new();
-        for (_, id, held) in stalled {
-            if freed >= bytes {
+        for (progressed, id) in &self.stallable {
+            if freed >= bytes || *progressed + STALL_TIME > now {
                 break;
             }
-            freed += held;
-            self.update(id, |holder| holder.evicted = true);
-            evicted.push(id);
+            freed += held(id);
+            evicted.push(*id);
         }
+        evicted.iter().for_each(|id| self.update(*id, |holder| holder.evicted = true));
         evicted
     }
 }
