The account counts the allocation of a stream's buffer

The buffer for an incomplete event was counted with the bytes in it, but grew to twice as many. It now grows by its own rule, and what it takes is counted before it grows.

--- a/sequoiacrank-edge/src/stream.rs
+++ b/sequoiacrank-edge/src/stream.rs
@@ -273,7 +273,7 @@
         let held = tokio::select! {
             biased;
             () = sender.closed() => return End::CallerGone,
-            held = queue.hold_buffer(events.buffered() + bytes.len()) => held,
+            held = queue.hold_buffer(events.allocation_for(bytes.len())) => held,
             () = tokio::time::sleep(exchange.time_left()) => {
                 let send = handover.map(handover::Handover::into_send);
                 return End::Broken(fleet::End::Cancelled, NO_MEMORY, send);
@@ -298,7 +298,8 @@
                 last_event = exchange.host.clock.now();
             }
         }
-        queue.shrink_buffer(events.buffered());
+        events.shrink();
+        queue.shrink_buffer(events.allocated());
         if let Some(fault) = events.fault() {
             let send = handover.map(handover::Handover::into_send);
             return End::Broken(fleet::End::Bad, fault, send);
--- a/sequoiacrank-edge/src/stream/events.rs
+++ b/sequoiacrank-edge/src/stream/events.rs
@@ -7,11 +7,15 @@
 /// Length of the longest event in bytes: hundreds of times that of an engine's events, which hold a
 /// few tokens, but small compared to the memory of a host.
 const MAX_EVENT_BYTES: usize = 256 << 10;
+/// Size of the smallest buffer in bytes, and of the largest one that is kept while it is empty.
+const MIN_ALLOCATION: usize = 1 << 10;
 
 /// Splits a stream into complete events.
 #[derive(Debug, Default)]
 pub struct Events {
     buffer: BytesMut,
+    /// Bytes that the buffer takes, with those in front that were split off.
+    allocated: usize,
     /// Length of the prefix of the buffer in which no event ends.
     searched: usize,
     /// Ids of the events that were returned.
@@ -33,12 +37,39 @@
 
     /// Appends received bytes.
     pub fn push(&mut self, bytes: &[u8]) {
+        if !self.has_room(bytes.len()) {
+            self.allocated = self.allocation_for(bytes.len());
+            let mut grown = BytesMut::with_capacity(self.allocated);
+            grown.extend_from_slice(&self.buffer);
+            self.buffer = grown;
+        }
         self.buffer.extend_from_slice(bytes);
     }
 
-    /// Number of bytes that are buffered.
-    pub fn buffered(&self) -> usize {
-        self.buffer.len()
+    fn has_room(&self, more: usize) -> bool {
+        self.buffer.len() + more <= self.buffer.capacity()
+    }
+
+    /// Bytes that the buffer takes.
+    pub fn allocated(&self) -> usize {
+        self.allocated
+    }
+
+    /// Bytes that the buffer will take once `more` are appended.
+    pub fn allocation_for(&self, more: usize) -> usize {
+        let length = self.buffer.len();
+        match self.has_room(more) {
+            true => self.allocated,
+            false => (length + more).max(2 * length).max(MIN_ALLOCATION),
+        }
+    }
+
+    /// Releases the buffer if it is large and empty.
+    pub fn shrink(&mut self) {
+        if self.buffer.is_empty() && self.allocated > MIN_ALLOCATION {
+            self.buffer = BytesMut::new();
+            self.allocated = 0;
+        }
     }
 
     /// Returns the next complete event. Events that the caller already has, by their ids, are
