Scaling: no reduction for a lull that a holder has hardly seen

After a change of the holder in a lull, the number of endpoints fell 10 s later instead of 40 s after the last crest; callers of the next crest then met missing endpoints for a boot time. The same happened to a holder that could not decide for a while, as in an outage of the store: its window of demand was empty, and the stabilization time from before counted on.

The number now falls only once the window of the demand was observed without a gap, and a gap restarts the stabilization time.

--- a/sequoiacrank-kernel/src/edge/duty/scaling.rs
+++ b/sequoiacrank-kernel/src/edge/duty/scaling.rs
@@ -155,6 +155,8 @@
     informed: bool,
     /// Time of the last increase for refused work.
     refused_at: Option<id::Time>,
+    /// Time since which the demand was observed without a gap.
+    observed_since: id::Time,
 }
 
 impl Service {
@@ -174,9 +176,19 @@
             self.demand.pop_front();
         }
         let (first, last) = self.span.unwrap_or((now, now));
+        let step = now.saturating_sub(last);
+        if self.span.is_none() || step > MAX_OBSERVED_STEP {
+            self.observed_since = now;
+            self.zones.values_mut().for_each(|zone| zone.lower = time::Duration::ZERO);
+        }
         self.span = Some((first, now));
         self.informed |= seen.complete || now >= first + REPORT_WAIT;
-        now.saturating_sub(last).min(MAX_OBSERVED_STEP)
+        step.min(MAX_OBSERVED_STEP)
+    }
+
+    /// Whether the window of the demand holds no gap. A new holder does not know the last peak.
+    fn is_window_full(&self, now: id::Time) -> bool {
+        now >= self.observed_since + DEMAND_WINDOW
     }
 
     /// Largest demand in the window, in calls.
@@ -272,7 +284,8 @@
         let demand = state.peak();
         let required = state.required(demand, seen, self.lost);
         let step = state.is_step_due(now, seen);
-        let steady = state.is_steady(seen) && seen.complete && seen.refused == 0;
+        let known = state.is_window_full(now) && seen.complete;
+        let steady = known && state.is_steady(seen) && seen.refused == 0;
         let context = Context { now, elapsed, required, demand, step, steady };
         let is_out = |zone: &str| seen.zones.get(zone).is_some_and(|it| it.out);
         let zones = state.zones.iter_mut().filter(|(zone, _)| !is_out(zone));
--- a/sequoiacrank-kernel/tests/edge/scaling.rs
+++ b/sequoiacrank-kernel/tests/edge/scaling.rs
@@ -243,6 +243,27 @@
     assert_eq!(world.ordered(), [50, 50, 50]);
 }
 
+/// Guards against a holder that removes endpoints for a lull that it has hardly seen: a new one, and
+/// one that could not decide for a while, know nothing of the last crest of the load.
+#[test]
+fn lull_at_a_change_of_the_holder() {
+    for gap in [0, 60] {
+        let mut world = world::World::new(40, 4, 200);
+        world.run(60, |_| 240);
+        world.run(5, |_| 60);
+        match gap {
+            0 => world.change_holder(),
+            _ => world.second += gap,
+        }
+        world.run(25, |_| 60);
+        assert_eq!(world.count().0, 0, "a gap of {gap} s");
+        world.run(8, |_| 240);
+        assert_safe(&world, 60);
+        world.run(100, |_| 60);
+        assert_eq!(world.ordered(), [10, 10, 10], "a gap of {gap} s");
+    }
+}
+
 /// Guards against orders that replace endpoints which come back by themselves, and against crashes
 /// that keep the number up for good.
 #[test]
