Scaling: order endpoints for a service that has none after a takeover

With `min` 0 a service could stay without endpoints for good: a new holder finds none from which it could learn their slots, and decided nothing while callers were refused. It now orders one endpoint in each zone for any demand; these show the slots.

The simulated world reports no slots while no endpoint is registered.

--- a/sequoiacrank-kernel/src/edge/duty/scaling.rs
+++ b/sequoiacrank-kernel/src/edge/duty/scaling.rs
@@ -197,8 +197,12 @@
     }
 
     /// Number of endpoints that each zone needs to carry `demand` without the zones that may be
-    /// lost. Zones out of service are among these.
+    /// lost. Zones out of service are among these. While no endpoint has shown its slots, one has to
+    /// come first.
     fn required(&self, demand: u32, seen: &Observation, lost: u32) -> u32 {
+        if self.slots <= 0.0 {
+            return u32::from(demand > 0).clamp(seen.bounds.min, seen.bounds.max);
+        }
         let out = seen.zones.values().filter(|zone| zone.out).count();
         let left = self.zones.len().saturating_sub(out.max(lost as usize)).max(1);
         let capacity = self.slots * USED_SLOTS * left as f64;
@@ -278,7 +282,9 @@
     pub fn decide(&mut self, now: id::Time, service: &str, seen: &Observation) -> Vec<Order> {
         let state = self.services.entry(service.to_owned()).or_default();
         let elapsed = state.record(now, seen);
-        if !state.begun || !state.informed || state.slots <= 0.0 {
+        // Registered endpoints without any slots show no need.
+        let slotless = state.slots <= 0.0 && seen.zones.values().any(|zone| zone.present() > 0);
+        if !state.begun || !state.informed || slotless {
             return Vec::new();
         }
         let demand = state.peak();
--- a/sequoiacrank-kernel/tests/edge/scaling.rs
+++ b/sequoiacrank-kernel/tests/edge/scaling.rs
@@ -264,6 +264,21 @@
     }
 }
 
+/// Guards against a service that stays without endpoints: with a smallest number of zero, a new
+/// holder finds none from which it could learn their slots.
+#[test]
+fn no_endpoints_at_a_change_of_the_holder() {
+    let mut world = world::World::new(4, 0, 60);
+    world.run(5, |_| 12);
+    world.run(80, |_| 0);
+    assert_eq!(world.ordered(), [0, 0, 0]);
+    world.change_holder();
+    world.run(5, |_| 0);
+    assert_eq!(world.ordered(), [0, 0, 0]);
+    world.run(40, |_| 30);
+    assert_safe(&world, 85 + 5 + 30);
+}
+
 /// Guards against orders that replace endpoints which come back by themselves, and against crashes
 /// that keep the number up for good.
 #[test]
--- a/sequoiacrank-kernel/tests/edge/scaling/world.rs
+++ b/sequoiacrank-kernel/tests/edge/scaling/world.rs
@@ -181,10 +181,12 @@
         };
         let zones: collections::BTreeMap<_, _> =
             self.zones.iter().map(|(name, it)| (name.clone(), zone(it))).collect();
+        // Slots are those of registered endpoints.
+        let known = zones.values().any(|zone| zone.ready > 0);
         scaling::Observation {
             bounds: self.bounds,
             zones,
-            slots: f64::from(SLOTS),
+            slots: if known { f64::from(SLOTS) } else { 0.0 },
             running: demand.running,
             refused: demand.refused,
             complete: (0..HOSTS).all(|host| self.reports.has(now, host)),
