Scaling: keep recorded numbers until the configuration is known

A host that acquired the lease before it had read the configuration dropped the numbers that its predecessor had recorded, and wrote a record without them with its next decision: endpoints that were ordered and still booting were forgotten. Nothing is decided before services are known.

Test: numbers_survive_a_late_configuration (record without numbers before).

--- a/sequoiacrank-edge/src/duties/scaling.rs
+++ b/sequoiacrank-edge/src/duties/scaling.rs
@@ -248,6 +248,10 @@
     host.duties.scaling.reports.borrow_mut().receive(now, host.process, loads);
     let missing = missing_reports(host, now);
     let services = services(&host.facts.borrow());
+    if services.is_empty() {
+        // Before the first configuration is read, none is known; what is recorded has to stay.
+        return;
+    }
     let is_scaled = |name: &str| services.iter().any(|(service, _)| service == name);
     let mut holder = host.duties.scaling.holder.borrow_mut();
     let Some(holder) = holder.as_mut() else { return };
@@ -266,10 +270,7 @@
     for ((service, zone), &count) in &desired {
         host.metrics.desired.with_label_values(&[service, zone]).set(i64::from(count));
     }
-    // Before the first configuration is read, no service is known.
-    if let Some(lease) = host.duties.lease.as_ref().filter(|_| !services.is_empty())
-        && desired != *acknowledged
-    {
+    if let Some(lease) = host.duties.lease.as_ref().filter(|_| desired != *acknowledged) {
         lease.borrow_mut().update(|content| content.desired = desired);
     }
 }
