Scaling: count zones that are known from the record only

A process that started after a zone had lost its endpoints did not pass the zone on to the decision. With it out of service and `zones_lost` 0, the other zones were ordered for a part of the load only; and a number for it that the platform had not carried out was never repeated.

Test: recorded_zone_out_of_service (no order for the other zone before).

--- a/sequoiacrank-edge/src/duties/scaling.rs
+++ b/sequoiacrank-edge/src/duties/scaling.rs
@@ -163,6 +163,8 @@
     let Some(acknowledged) = acknowledged(host) else { return };
     if begin_decision(host, now, token, &acknowledged) {
         remember_zones(host);
+        // A process that has started after a zone was lost knows it from the record only.
+        host.duties.scaling.zones.borrow_mut().extend(acknowledged.keys().cloned());
         decide(host, now, &acknowledged);
     }
     send_due(host, now, &acknowledged);
