--- a/sequoiacrank-edge/src/duties/scaling.rs
+++ b/sequoiacrank-edge/src/duties/scaling.rs
@@ -163,6 +163,8 @@
     let Some(acknowledged) = acknowledged(host) else { return };
     if begin_decision(host, now, token, &acknowledged) {
         remember_zones(host);
+        // A process that has started after a zone was lost knows it from the record only.
+        host.duties.scaling.zones.borrow_mut().extend(acknowledged.keys().cloned());
         decide(host, now, &acknowledged);
     }
     send_due(host, now, &acknowledged);
@@ -248,6 +250,10 @@
     host.duties.scaling.reports.borrow_mut().receive(now, host.process, loads);
     let missing = missing_reports(host, now);
     let services = services(&host.facts.borrow());
+    if services.is_empty() {
+        // Before the first configuration is read, none is known; what is recorded has to stay.
+        return;
+    }
     let is_scaled = |name: &str| services.iter().any(|(service, _)| service == name);
     let mut holder = host.duties.scaling.holder.borrow_mut();
     let Some(holder) = holder.as_mut() else { return };
@@ -266,10 +272,7 @@
     for ((service, zone), &count) in &desired {
         host.metrics.desired.with_label_values(&[service, zone]).set(i64::from(count));
     }
-    // Before the first configuration is read, no service is known.
-    if let Some(lease) = host.duties.lease.as_ref().filter(|_| !services.is_empty())
-        && desired != *acknowledged
-    {
+    if let Some(lease) = host.duties.lease.as_ref().filter(|_| desired != *acknowledged) {
         lease.borrow_mut().update(|content| content.desired = desired);
     }
 }
--- a/sequoiacrank-kernel/src/edge/duty/scaling.rs
+++ b/sequoiacrank-kernel/src/edge/duty/scaling.rs
@@ -155,6 +155,8 @@
     informed: bool,
     /// Time of the last increase for refused work.
     refused_at: Option<id::Time>,
+    /// Time since which the demand was observed without a gap.
+    observed_since: id::Time,
 }
 
 impl Service {
@@ -174,9 +176,19 @@
             self.demand.pop_front();
         }
         let (first, last) = self.span.unwrap_or((now, now));
+        let step = now.saturating_sub(last);
+        if self.span.is_none() || step > MAX_OBSERVED_STEP {
+            self.observed_since = now;
+            self.zones.values_mut().for_each(|zone| zone.lower = time::Duration::ZERO);
+        }
         self.span = Some((first, now));
         self.informed |= seen.complete || now >= first + REPORT_WAIT;
-        now.saturating_sub(last).min(MAX_OBSERVED_STEP)
+        step.min(MAX_OBSERVED_STEP)
+    }
+
+    /// Whether the window of the demand holds no gap. A new holder does not know the last peak.
+    fn is_window_full(&self, now: id::Time) -> bool {
+        now >= self.observed_since + DEMAND_WINDOW
     }
 
     /// Largest demand in the window, in calls.
@@ -185,8 +197,12 @@
     }
 
     /// Number of endpoints that each zone needs to carry `demand` without the zones that may be
-    /// lost. Zones out of service are among these.
+    /// lost. Zones out of service are among these. While no endpoint has shown its slots, one has to
+    /// come first.
     fn required(&self, demand: u32, seen: &Observation, lost: u32) -> u32 {
+        if self.slots <= 0.0 {
+            return u32::from(demand > 0).clamp(seen.bounds.min, seen.bounds.max);
+        }
         let out = seen.zones.values().filter(|zone| zone.out).count();
         let left = self.zones.len().saturating_sub(out.max(lost as usize)).max(1);
         let capacity = self.slots * USED_SLOTS * left as f64;
@@ -266,13 +282,16 @@
     pub fn decide(&mut self, now: id::Time, service: &str, seen: &Observation) -> Vec<Order> {
         let state = self.services.entry(service.to_owned()).or_default();
         let elapsed = state.record(now, seen);
-        if !state.begun || !state.informed || state.slots <= 0.0 {
+        // Registered endpoints without any slots show no need.
+        let slotless = state.slots <= 0.0 && seen.zones.values().any(|zone| zone.present() > 0);
+        if !state.begun || !state.informed || slotless {
             return Vec::new();
         }
         let demand = state.peak();
         let required = state.required(demand, seen, self.lost);
         let step = state.is_step_due(now, seen);
-        let steady = state.is_steady(seen) && seen.complete && seen.refused == 0;
+        let known = state.is_window_full(now) && seen.complete;
+        let steady = known && state.is_steady(seen) && seen.refused == 0;
         let context = Context { now, elapsed, required, demand, step, steady };
         let is_out = |zone: &str| seen.zones.get(zone).is_some_and(|it| it.out);
         let zones = state.zones.iter_mut().filter(|(zone, _)| !is_out(zone));
