--- a/sequoiacrank-edge/src/duties/scaling.rs
+++ b/sequoiacrank-edge/src/duties/scaling.rs
@@ -295,32 +295,33 @@
 
 /// Sends the orders that are due and that the store has acknowledged.
 fn send_due(host: &rc::Rc<host::Host>, now: id::Time, acknowledged: &Desired) {
-    let due = {
+    let (token, due) = {
         let facts = host.facts.borrow();
         let out: Vec<_> = facts.out_zones().collect();
         let services = services(&facts);
         let mut holder = host.duties.scaling.holder.borrow_mut();
-        let Some(Holder { scaler, dispatch, .. }) = holder.as_mut() else { return };
-        dispatch.take_due(now, acknowledged, |(service, zone)| {
+        let Some(Holder { token, scaler, dispatch, .. }) = holder.as_mut() else { return };
+        let due = dispatch.take_due(now, acknowledged, |(service, zone)| {
             scaler.is_informed(service)
                 && !out.contains(zone)
                 && services.iter().any(|(name, _)| name == service)
-        })
+        });
+        (*token, due)
     };
     for (subject, count) in due {
-        task::spawn_local(send(host.clone(), subject, count));
+        task::spawn_local(send(host.clone(), token, subject, count));
     }
 }
 
 /// Sends one order and records what became of it.
-async fn send(host: rc::Rc<host::Host>, subject: scaling::Subject, count: u32) {
+async fn send(host: rc::Rc<host::Host>, token: duty::Token, subject: scaling::Subject, count: u32) {
     let (service, zone) = (subject.0.as_str(), subject.1.as_str());
     let build = |holder: adapter::Holder<'_>| adapter::scaling(holder, service, zone, count);
     let result = api::call(&host, "scaling", build).await;
     let next = {
         let mut holder = host.duties.scaling.holder.borrow_mut();
         // Nobody waits for the outcome if the lease was lost meanwhile.
-        let Some(holder) = holder.as_mut() else { return };
+        let Some(holder) = holder.as_mut().filter(|it| it.token == token) else { return };
         holder.dispatch.answered(duties::steady_now(), &subject, count, result.is_ok())
     };
     match result {
