--- a/sequoiacrank-edge/src/exchange/choice.rs
+++ b/sequoiacrank-edge/src/exchange/choice.rs
@@ -8,6 +8,7 @@
 use sequoiacrank_kernel::edge::moves;
 use sequoiacrank_kernel::id;
 
+use crate::duties;
 use crate::exchange;
 use crate::facts;
 use crate::notices;
@@ -97,12 +98,13 @@
     /// again after a known time, it tells the caller when to retry. That time is partly random, so
     /// that callers do not all retry at once.
     pub(super) fn no_endpoint(&self) -> refusal::Refusal {
+        duties::record_refused(&self.host, &self.service);
         let wait =
             self.host.facts.borrow().fleet.wait(self.host.clock.now(), &self.service, self.rank);
         match wait {
             Some(wait) => refusal::Refusal {
-                code: code::Code::QueueFull,
                 retry_after: Some(wait + wait.mul_f64(rand::random::<f64>() * RETRY_SPREAD)),
+                ..refusal::Refusal::new(code::Code::QueueFull)
             },
             None => refusal::Refusal::retry_soon(code::Code::NoEndpoint),
         }
--- a/sequoiacrank-edge/src/exchange/mod.rs
+++ b/sequoiacrank-edge/src/exchange/mod.rs
@@ -16,7 +16,6 @@
 use std::sync;
 use std::time;
 
-use bytes::Bytes;
 use hyper::body;
 use sequoiacrank_adapter::call;
 use sequoiacrank_adapter::ingress;
@@ -30,9 +29,12 @@
 
 use crate::body::Body;
 use crate::client;
+use crate::duties;
+use crate::duties::usage::attempt;
 use crate::front;
 use crate::host;
 use crate::in_flight;
+use crate::memory::blocks;
 use crate::refusal;
 use crate::stages;
 use crate::stop;
@@ -63,7 +65,7 @@
     uri: http::Uri,
     /// Headers that are forwarded to endpoints.
     forwarded: http::HeaderMap,
-    body: Bytes,
+    body: blocks::Blocks,
     /// What identifies the request if it crashes endpoints.
     identity: crash::Request,
     pub(crate) began: id::Time,
@@ -88,6 +90,8 @@
     form: cell::OnceCell<call::Form>,
     /// Whether an endpoint may have run it.
     maybe_ran: cell::Cell<bool>,
+    /// Whether it is counted in a usage window; `None` if requests are not counted.
+    pub(crate) usage: Option<rc::Rc<attempt::Attempt>>,
     _active: stop::ActiveRequest,
 }
 
@@ -229,6 +233,7 @@
             SendError::Unsent(_) | SendError::Refused(http::StatusCode::MISDIRECTED_REQUEST)
                 if *unreached + 1 >= MAX_UNREACHED =>
             {
+                duties::record_refused(&self.host, &self.service);
                 Err(refusal::Refusal::retry_soon(code::Code::NoEndpoint))
             }
             SendError::Unsent(permit) => {
@@ -253,9 +258,16 @@
                 Ok(permit)
             }
             SendError::Refused(_) if self.send_count() >= self.route.max_attempts => {
+                duties::record_refused(&self.host, &self.service);
                 Err(refusal::Refusal::retry_soon(code::Code::QueueFull))
             }
-            SendError::Refused(_) => Ok(self.request_permit("refused")),
+            SendError::Refused(_) => {
+                let permit = self.request_permit("refused");
+                if permit.is_none() {
+                    duties::record_refused(&self.host, &self.service);
+                }
+                Ok(permit)
+            }
             SendError::Suspect => Err(refusal::Refusal::new(code::Code::Suspect)),
             SendError::Failed(code) => {
                 self.maybe_ran.set(true);
@@ -292,7 +304,7 @@
         self.host.metrics.latency.with_label_values(&[route]).observe(took.as_secs_f64());
         let is_stream =
             self.route.kind == catalog::Kind::Stream && upstream.head.status.is_success();
-        let mut answer = http::Response::new(Body::Full(None));
+        let mut answer = http::Response::new(Body::empty());
         *answer.status_mut() = upstream.head.status;
         *answer.headers_mut() = ingress::end_to_end(&upstream.head.headers);
         if is_stream {
@@ -303,7 +315,7 @@
         }
         let Upstream { connection, body, call, decoded, head } = upstream;
         let left = self.time_left();
-        let result = tokio::time::timeout(left, client::read_body(body)).await;
+        let result = tokio::time::timeout(left, client::read_body(&self.host.memory, body)).await;
         let body = match result.unwrap_or(Err(client::Error::Timeout)) {
             Ok(body) => body,
             Err(err) => {
