Callers that do not read their answers give way

A caller that did not read its answer kept the memory of that answer for as long as it stayed connected: nothing bounds the time of a write, and complete answers are not evicted. While others wait for room, or no connection can be admitted, the host now closes the connection whose writes have been blocked longest, if for a second or more, one at a time. Operators see the cause `blocked_closed` in the pressure log and in `memory_refused_total`.

The unsent bytes that the system takes for a caller are bounded to 64 KiB. With megabytes it accepts more only once a large part was read, and a slow reader looks blocked.

--- a/sequoiacrank-edge/src/client.rs
+++ b/sequoiacrank-edge/src/client.rs
@@ -95,6 +95,21 @@
     socket.set_tcp_keepalive(&probes)
 }
 
+/// Bytes of answers that the system takes for a caller before they are sent. Without this bound it
+/// takes megabytes, and accepts more only once a large part of them was read, so that a caller that
+/// reads slowly could not be told from one that does not read.
+const MAX_UNSENT: u32 = 64 << 10;
+
+/// Sets the options of a connection of a caller.
+///
+/// # Errors
+///
+/// When the system refuses one.
+pub fn configure_caller(stream: &TcpStream) -> io::Result<()> {
+    configure_socket(stream)?;
+    socket2::SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT)
+}
+
 /// Aborts a task when it is dropped.
 struct AbortOnDrop(task::JoinHandle<()>);
 
--- a/sequoiacrank-edge/src/front.rs
+++ b/sequoiacrank-edge/src/front.rs
@@ -70,15 +70,21 @@
     }
 }
 
+/// Takes a place for a connection of a caller.
+fn admit(host: &host::Host, idle: &idle::Idle) -> Option<listener::Place> {
+    let (unused, blocked) = (idle.clone(), idle.clone());
+    let unused_since: listener::IdleSince = Box::new(move || unused.unused_since());
+    let blocked_since: listener::BlockedSince = Box::new(move || blocked.blocked_since());
+    listener::admit_caller(&host.memory, unused_since, blocked_since)
+}
+
 async fn serve(host: rc::Rc<host::Host>, stream: TcpStream) {
-    if let Err(err) = client::configure_socket(&stream) {
+    if let Err(err) = client::configure_caller(&stream) {
         log::info!(target: "front", err = err.to_string().as_str(); "setting socket options failed");
         return;
     }
     let idle = idle::Idle::new(&host);
-    let unused = idle.clone();
-    let unused_since: listener::IdleSince = Box::new(move || unused.unused_since());
-    let Some(place) = listener::admit_caller(&host.memory, unused_since) else { return };
+    let Some(place) = admit(&host, &idle) else { return };
     let handler = service::service_fn(|request| {
         let (host, busy) = (host.clone(), idle.begin());
         async move {
@@ -103,10 +109,10 @@
             connection.as_mut().graceful_shutdown();
             finish(connection, &idle).await
         }
-        () = place.closed() => match idle.unused_since() {
-            Some(_) => Ok(()),
+        () = place.closed() => match place.is_given_up() || idle.unused_since().is_some() {
+            true => Ok(()),
             // A request has arrived since.
-            None => {
+            false => {
                 connection.as_mut().graceful_shutdown();
                 finish(connection, &idle).await
             }
--- a/sequoiacrank-edge/src/idle.rs
+++ b/sequoiacrank-edge/src/idle.rs
@@ -29,8 +29,8 @@
     /// When its last request ended, or its last byte was written; `None` while a request is in
     /// progress on it.
     since: cell::Cell<Option<id::Time>>,
-    /// Whether bytes wait to be written.
-    blocked: cell::Cell<bool>,
+    /// Since when bytes wait to be written and none could be; `None` if no bytes wait.
+    blocked_since: cell::Cell<Option<id::Time>>,
     /// Whether bytes were read since the last request began to be served. Outside a request these
     /// are the beginning of a head.
     head_begun: cell::Cell<bool>,
@@ -61,7 +61,7 @@
         Idle(rc::Rc::new(State {
             host: host.clone(),
             since,
-            blocked: cell::Cell::new(false),
+            blocked_since: cell::Cell::new(None),
             head_begun: cell::Cell::new(false),
         }))
     }
@@ -85,7 +85,12 @@
 
     /// Since when no request is being served and no bytes wait to be written.
     pub fn since(&self) -> Option<id::Time> {
-        self.0.since.get().filter(|_| !self.0.blocked.get())
+        self.0.since.get().filter(|_| self.0.blocked_since.get().is_none())
+    }
+
+    /// Since when bytes wait to be written and none could be; `None` if no bytes wait.
+    pub fn blocked_since(&self) -> Option<id::Time> {
+        self.0.blocked_since.get()
     }
 
     /// Waits until the connection has been idle for the time that `limit` takes from the newest
@@ -119,15 +124,17 @@
     }
 
     fn set_blocked(&self, blocked: bool) {
-        if self.0.blocked.replace(blocked) != blocked {
-            self.0.host.stop.count_blocked(blocked);
+        let state = &self.0;
+        if state.blocked_since.get().is_some() != blocked {
+            state.blocked_since.set(blocked.then(|| state.host.clock.now()));
+            state.host.stop.count_blocked(blocked);
         }
     }
 }
 
 impl Drop for State {
     fn drop(&mut self) {
-        if self.blocked.get() {
+        if self.blocked_since.get().is_some() {
             self.host.stop.count_blocked(false);
         }
     }
--- a/sequoiacrank-edge/src/memory/listener.rs
+++ b/sequoiacrank-edge/src/memory/listener.rs
@@ -5,6 +5,7 @@
 use std::rc;
 
 use sequoiacrank_config::edge;
+use sequoiacrank_kernel::edge::memory as account;
 use sequoiacrank_kernel::id;
 use tokio::sync::Notify;
 
@@ -32,8 +33,15 @@
 /// Since when a connection is idle; `None` if it is not and must not be closed.
 pub type IdleSince = Box<dyn Fn() -> Option<id::Time>>;
 
+/// Since when the writes of a connection are blocked; `None` if they are not.
+pub type BlockedSince = Box<dyn Fn() -> Option<id::Time>>;
+
 struct Entry {
     idle_since: IdleSince,
+    /// `None` on listeners whose answers take no memory of the account.
+    blocked_since: Option<BlockedSince>,
+    /// Whether the connection is given up because its writes are blocked.
+    is_given_up: rc::Rc<cell::Cell<bool>>,
     close: rc::Rc<Notify>,
 }
 
@@ -57,6 +65,24 @@
         let closed = idle.and_then(|(_, id)| entries.remove(&id));
         closed.map(|entry| entry.close.notify_one()).is_some()
     }
+
+    /// Tells the connection whose writes have been blocked longest to close, if for long enough.
+    /// Returns whether there is one. Until it has closed and released its memory, no other is told.
+    pub fn close_blocked(&self, now: id::Time) -> bool {
+        let entries = self.entries.borrow();
+        if entries.values().any(|entry| entry.is_given_up.get()) {
+            return false;
+        }
+        let since = |entry: &Entry| entry.blocked_since.as_ref().and_then(|since| since());
+        let blocked = entries.iter().filter_map(|(id, entry)| Some((since(entry)?, *id)));
+        let Some(entry) = account::longest_blocked(now, blocked).and_then(|id| entries.get(&id))
+        else {
+            return false;
+        };
+        entry.is_given_up.set(true);
+        entry.close.notify_one();
+        true
+    }
 }
 
 /// The place of an open connection. Dropping it gives the place up.
@@ -65,6 +91,7 @@
     listener: fn(&memory::Memory) -> &Listener,
     id: u64,
     close: rc::Rc<Notify>,
+    is_given_up: rc::Rc<cell::Cell<bool>>,
     charge: Option<memory::Charge>,
 }
 
@@ -73,6 +100,11 @@
     pub async fn closed(&self) {
         self.close.notified().await;
     }
+
+    /// Whether the connection has to close at once, as its writes are blocked.
+    pub fn is_given_up(&self) -> bool {
+        self.is_given_up.get()
+    }
 }
 
 impl Drop for Place {
@@ -105,14 +137,32 @@
     }
     let id = list.next.get();
     list.next.set(id + 1);
-    let close = rc::Rc::new(Notify::new());
-    list.entries.borrow_mut().insert(id, Entry { idle_since, close: close.clone() });
-    Some(Place { memory: memory.clone(), listener, id, close, charge: None })
+    let (close, is_given_up) = (rc::Rc::new(Notify::new()), rc::Rc::default());
+    let entry = Entry {
+        idle_since,
+        blocked_since: None,
+        is_given_up: rc::Rc::clone(&is_given_up),
+        close: close.clone(),
+    };
+    list.entries.borrow_mut().insert(id, entry);
+    Some(Place { memory: memory.clone(), listener, id, close, is_given_up, charge: None })
 }
 
 /// Takes a place for a new connection of a caller, which is also charged for its buffers.
-pub fn admit_caller(memory: &rc::Rc<memory::Memory>, idle_since: IdleSince) -> Option<Place> {
-    let mut place = admit(memory, |memory| &memory.callers, memory.max_callers(), idle_since)?;
+pub fn admit_caller(
+    memory: &rc::Rc<memory::Memory>,
+    idle_since: IdleSince,
+    blocked_since: BlockedSince,
+) -> Option<Place> {
+    let place = admit(memory, |memory| &memory.callers, memory.max_callers(), idle_since);
+    let Some(mut place) = place else {
+        // Blocked connections may hold all of the budget, so that none is admitted any more.
+        memory.close_blocked();
+        return None;
+    };
+    if let Some(entry) = memory.callers.entries.borrow_mut().get_mut(&place.id) {
+        entry.blocked_since = Some(blocked_since);
+    }
     place.charge = Some(memory.open_connection());
     Some(place)
 }
--- a/sequoiacrank-edge/src/memory/mod.rs
+++ b/sequoiacrank-edge/src/memory/mod.rs
@@ -100,6 +100,14 @@
         Lease { memory: self.clone(), id, evicted }
     }
 
+    /// Closes the connection of the caller that has not read its answers for longest, if for long
+    /// enough.
+    fn close_blocked(&self) {
+        if self.callers.close_blocked(self.clock.now()) {
+            self.pressure.record(pressure::Cause::BlockedClosed);
+        }
+    }
+
     fn evict(&self, holders: &[account::HolderId]) {
         let evictions = self.evictions.borrow();
         for evicted in holders.iter().filter_map(|id| evictions.get(id)) {
@@ -152,6 +160,7 @@
                 }
             };
             has_waited = true;
+            self.memory.close_blocked();
             tokio::select! {
                 () = room => {}
                 () = tokio::time::sleep(until.saturating_sub(now)) => {}
--- a/sequoiacrank-edge/src/memory/pressure.rs
+++ b/sequoiacrank-edge/src/memory/pressure.rs
@@ -26,13 +26,16 @@
     MessageLost,
     /// An idle connection was closed to make room for a new one.
     IdleClosed,
+    /// A connection was closed, as its caller did not read its answers while others waited for
+    /// memory.
+    BlockedClosed,
     /// A new connection was closed, as none of the open ones was idle.
     ConnectionRefused,
 }
 
 impl Cause {
     /// All causes.
-    pub const ALL: [Cause; 8] = [
+    pub const ALL: [Cause; 9] = [
         Cause::BodyRefused,
         Cause::BodyEvicted,
         Cause::BodyTooLarge,
@@ -40,6 +43,7 @@
         Cause::StreamPaused,
         Cause::MessageLost,
         Cause::IdleClosed,
+        Cause::BlockedClosed,
         Cause::ConnectionRefused,
     ];
 
@@ -53,6 +57,7 @@
             Cause::StreamPaused => "stream_paused",
             Cause::MessageLost => "message_lost",
             Cause::IdleClosed => "idle_closed",
+            Cause::BlockedClosed => "blocked_closed",
             Cause::ConnectionRefused => "connection_refused",
         }
     }
--- a/sequoiacrank-kernel/src/edge/memory.rs
+++ b/sequoiacrank-kernel/src/edge/memory.rs
@@ -17,6 +17,9 @@
 pub const STALL_TIME: time::Duration = time::Duration::from_millis(500);
 /// Time for which a holder waits for room before it is refused.
 pub const ROOM_WAIT: time::Duration = time::Duration::from_millis(250);
+/// Time without a successful write after which a connection whose caller does not read its answers
+/// may be closed. A caller that reads slowly lets writes go on within it.
+pub const BLOCKED_TIME: time::Duration = time::Duration::from_secs(1);
 /// Bytes that one connection is charged: the buffers that the HTTP library holds for its head.
 pub const CONNECTION_BYTES: usize = 16 << 10;
 /// Budget in bytes if the memory of the machine is unknown.
@@ -35,6 +38,17 @@
     megabytes.map_or(DEFAULT_BUDGET, |megabytes| megabytes as usize * 1_000_000 / 4)
 }
 
+/// The connection to close when others wait for room: the one whose writes have been blocked longest,
+/// if that is at least [`BLOCKED_TIME`]. `blocked` holds connections and since when their writes are
+/// blocked.
+pub fn longest_blocked<I>(now: id::Time, blocked: I) -> Option<u64>
+where
+    I: IntoIterator<Item = (id::Time, u64)>,
+{
+    let (since, connection) = blocked.into_iter().min()?;
+    (now >= since + BLOCKED_TIME).then_some(connection)
+}
+
 /// What a holder holds memory for, which decides how much of the budget it may use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Class {
--- a/sequoiacrank-kernel/tests/edge/memory.rs
+++ b/sequoiacrank-kernel/tests/edge/memory.rs
@@ -289,3 +289,13 @@
     let id = account.open(at(1), memory::Class::Small);
     assert_eq!(fill(&mut account, at(1), id, memory::SMALL_BYTES), memory::SMALL_BYTES);
 }
+
+/// Guards against closing a caller that reads slowly, and against keeping the one that has not read
+/// for longest.
+#[test]
+fn longest_blocked_is_closed() {
+    let blocked = [(at(300), 1), (at(100), 2), (at(200), 3)];
+    assert_eq!(memory::longest_blocked(at(1_099), blocked), None);
+    assert_eq!(memory::longest_blocked(at(1_100), blocked), Some(2));
+    assert_eq!(memory::longest_blocked(at(1_100), []), None);
+}
