New connections of hosts do not close links in use

Above the bound, the listener for hosts closed the link that was idle longest, also that of a live host.

No process test covers the rank.

--- a/sequoiacrank-edge/src/front.rs
+++ b/sequoiacrank-edge/src/front.rs
@@ -73,7 +73,8 @@
 /// Takes a place for a connection of a caller.
 fn admit(host: &host::Host, idle: &idle::Idle) -> Option<listener::Place> {
     let (unused, blocked) = (idle.clone(), idle.clone());
-    let unused_since: listener::IdleSince = Box::new(move || unused.unused_since());
+    let unused_since: listener::IdleSince =
+        Box::new(move || unused.unused_since().map(listener::Rank::from));
     let blocked_since: listener::BlockedSince = Box::new(move || blocked.blocked_since());
     listener::admit_caller(&host.memory, unused_since, blocked_since)
 }
@@ -174,7 +175,8 @@
         let idle = idle::Idle::new(&host);
         let last = idle.clone();
         // Also closes connections whose head has begun, as it may never end.
-        let idle_since: listener::IdleSince = Box::new(move || last.since());
+        let idle_since: listener::IdleSince =
+            Box::new(move || last.since().map(listener::Rank::from));
         let place = listener::admit(&host.memory, list, listener::MAX_PAGES, idle_since);
         let Some(place) = place else { continue };
         task::spawn_local(serve_page_connection(stream, idle, place, handler.clone()));
--- a/sequoiacrank-edge/src/memory/listener.rs
+++ b/sequoiacrank-edge/src/memory/listener.rs
@@ -30,8 +30,24 @@
     edge::caller_connections(descriptors).max(edge::MIN_CALLERS) as usize
 }
 
-/// Since when a connection is idle; `None` if it is not and must not be closed.
-pub type IdleSince = Box<dyn Fn() -> Option<id::Time>>;
+/// Order in which idle connections are closed for new ones, lowest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Rank {
+    /// Whether the other side is known to be of use, such as a host that sent a valid message.
+    pub has_spoken: bool,
+    /// Since when the connection is idle.
+    pub since: id::Time,
+}
+
+impl From<id::Time> for Rank {
+    /// The rank of a connection on a listener that ranks by time only.
+    fn from(since: id::Time) -> Self {
+        Rank { has_spoken: true, since }
+    }
+}
+
+/// Rank of a connection that is idle; `None` if it is not and must not be closed.
+pub type IdleSince = Box<dyn Fn() -> Option<Rank>>;
 
 /// Since when the writes of a connection are blocked; `None` if they are not.
 pub type BlockedSince = Box<dyn Fn() -> Option<id::Time>>;
--- a/sequoiacrank-edge/src/peer/reader.rs
+++ b/sequoiacrank-edge/src/peer/reader.rs
@@ -1,6 +1,7 @@
 //! Incoming connections of other hosts.
 
 use std::cell;
+use std::net;
 use std::rc;
 use std::time;
 
@@ -45,16 +46,41 @@
     }
 }
 
+/// When a connection was last used.
+struct Usage {
+    /// When bytes arrived last.
+    read: cell::Cell<id::Time>,
+    /// Sender of the last valid message, and when it arrived.
+    spoken: cell::Cell<Option<(net::SocketAddr, id::Time)>>,
+}
+
+impl Usage {
+    /// Rank among the connections that may be closed for a new one; `None` if a live host uses this
+    /// one.
+    fn rank(&self, host: &host::Host) -> Option<listener::Rank> {
+        match self.spoken.get() {
+            None => Some(listener::Rank { has_spoken: false, since: self.read.get() }),
+            Some((from, last))
+                if host.peers.members().uses_connection(host.clock.now(), from, last) =>
+            {
+                None
+            }
+            Some((_, since)) => Some(listener::Rank { has_spoken: true, since }),
+        }
+    }
+}
+
 /// Starts to read a connection if there is a place for it.
 fn accept(host: &rc::Rc<host::Host>, stream: TcpStream, connection: u64) {
     let known = host.peers.members().known_hosts();
     let bound = known * listener::CONNECTIONS_PER_HOST + listener::MAX_UNKNOWN_HOSTS;
-    let last_read = rc::Rc::new(cell::Cell::new(Some(host.clock.now())));
-    let since = last_read.clone();
-    let since: listener::IdleSince = Box::new(move || since.get());
+    let now = cell::Cell::new(host.clock.now());
+    let usage = rc::Rc::new(Usage { read: now, spoken: cell::Cell::new(None) });
+    let (ranked, known_by) = (usage.clone(), host.clone());
+    let since: listener::IdleSince = Box::new(move || ranked.rank(&known_by));
     let place = listener::admit(&host.memory, |memory| &memory.hosts, bound, since);
     if let Some(place) = place {
-        task::spawn_local(read(host.clone(), stream, connection, place, last_read));
+        task::spawn_local(read(host.clone(), stream, connection, place, usage));
     }
 }
 
@@ -64,11 +90,11 @@
     stream: TcpStream,
     connection: u64,
     place: listener::Place,
-    last_read: rc::Rc<cell::Cell<Option<id::Time>>>,
+    usage: rc::Rc<Usage>,
 ) {
     let result = tokio::select! {
         biased;
-        result = read_frames(&host, stream, connection, &last_read) => result,
+        result = read_frames(&host, stream, connection, &usage) => result,
         () = place.closed() => Ok(()),
     };
     if let Err(err) = result {
@@ -138,12 +164,12 @@
     length.map_or(0, |length| length.saturating_sub(buffer.len()))
 }
 
-/// Handles messages until the connection ends. `last_read` is when bytes arrived last.
+/// Handles messages until the connection ends. Keeps `usage` up to date.
 async fn read_frames(
     host: &rc::Rc<host::Host>,
     mut stream: TcpStream,
     connection: u64,
-    last_read: &cell::Cell<Option<id::Time>>,
+    usage: &Usage,
 ) -> Result<(), Error> {
     let lease = host.memory.lease(account::Class::Message);
     let mut buffer = Buffer { bytes: BytesMut::new(), held: 0, lease };
@@ -153,7 +179,10 @@
     }
     loop {
         if let Some(frame) = wire::decode(&mut buffer.bytes)? {
+            let from = frame.from.parse().ok();
+            // Logs a sender whose address cannot be parsed.
             peer::receive(host, frame, connection);
+            usage.spoken.set(from.map(|from| (from, host.clock.now())).or(usage.spoken.get()));
             continue;
         }
         buffer.reserve().await.map_err(|memory::NoRoom| Error::NoRoom)?;
@@ -172,7 +201,7 @@
         if !matches!(read, Ok(1..)) {
             return Ok(());
         }
-        last_read.set(Some(host.clock.now()));
+        usage.read.set(host.clock.now());
         buffer.lease.record_progress();
     }
 }
--- a/sequoiacrank-kernel/src/edge/members/reach.rs
+++ b/sequoiacrank-kernel/src/edge/members/reach.rs
@@ -28,6 +28,12 @@
 }
 
 impl members::Members {
+    /// Whether a host that was last heard on a connection at `last` still uses it, so that it must not
+    /// be closed for another one. Several heartbeats may be missing, as some come late under load.
+    pub fn uses_connection(&self, now: id::Time, address: net::SocketAddr, last: id::Time) -> bool {
+        self.is_alive(address) && now < last + members::LOST_AFTER
+    }
+
     /// Number of other hosts that are known, reachable or not.
     pub fn known_hosts(&self) -> usize {
         self.members.len()
--- a/sequoiacrank-kernel/tests/edge/members.rs
+++ b/sequoiacrank-kernel/tests/edge/members.rs
@@ -373,3 +373,16 @@
     assert_eq!(host.record_process(address(1), 71, 5), members::ProcessStatus::Same);
     assert_eq!(host.record_process(address(1), 71, 4), members::ProcessStatus::Same);
 }
+
+/// Guards against closing the link of a live host for a new connection, and against keeping the
+/// links of others.
+#[test]
+fn links_of_live_hosts_are_kept() {
+    let mut host = pair();
+    drop(host.next_round(site::ms(400)));
+    assert!(host.uses_connection(site::ms(500), address(1), site::ms(100)));
+    assert!(!host.uses_connection(site::ms(1500), address(1), site::ms(100)));
+    assert!(!host.uses_connection(site::ms(500), address(2), site::ms(100)));
+    (2..8).for_each(|round| drop(host.next_round(site::ms(round * 400))));
+    assert!(!host.uses_connection(site::ms(2900), address(1), site::ms(2800)));
+}
