Store answers and first bytes of messages get memory

Endless answers of endpoints could keep the host from reading its configuration. Answers of the store and the platform's API have the class `Control`, which may use all of the budget. The first 4 KiB of a message are always granted: with the account full, a new link was closed after 250 ms.

--- a/sequoiacrank-edge/src/client.rs
+++ b/sequoiacrank-edge/src/client.rs
@@ -281,8 +281,7 @@
         self.opened.get()
     }
 
-    /// Sends a repeatable request and reads the complete answer. If the server has closed an idle
-    /// connection, the request is sent again on a new one.
+    /// [`Pool::call_as`] for the answer of an endpoint.
     ///
     /// # Errors
     ///
@@ -292,6 +291,22 @@
         address: net::SocketAddr,
         request: http::Request<Bytes>,
         timeout: time::Duration,
+    ) -> Result<Answer, Error> {
+        self.call_as(account::Class::Answer, address, request, timeout).await
+    }
+
+    /// Sends a repeatable request and reads the complete answer, which takes memory of `class`. If the server has closed an idle
+    /// connection, the request is sent again on a new one.
+    ///
+    /// # Errors
+    ///
+    /// When there is no complete answer within `timeout`.
+    pub async fn call_as(
+        &self,
+        class: account::Class,
+        address: net::SocketAddr,
+        request: http::Request<Bytes>,
+        timeout: time::Duration,
     ) -> Result<Answer, Error> {
         let request = request.map(blocks::Blocks::from);
         let call = async {
@@ -303,7 +318,7 @@
                 }
                 other => other?,
             };
-            self.read_answer(connection, answer).await
+            self.read_answer(class, connection, answer).await
         };
         tokio::time::timeout(timeout, call).await.map_err(|_| Error::Timeout)?
     }
@@ -325,7 +340,7 @@
         let call = async {
             let mut connection = self.connect(address).await?;
             let answer = connection.send(request).await?;
-            self.read_answer(connection, answer).await
+            self.read_answer(account::Class::Answer, connection, answer).await
         };
         tokio::time::timeout(timeout, call).await.map_err(|_| Error::Timeout)?
     }
@@ -333,11 +348,12 @@
     /// Reads the complete body of an answer and puts the connection back if it may be used again.
     async fn read_answer(
         &self,
+        class: account::Class,
         connection: Connection,
         answer: http::Response<body::Incoming>,
     ) -> Result<Answer, Error> {
         let (head, body) = answer.into_parts();
-        let (body, lease) = read_body(&self.memory, body).await?.join();
+        let (body, lease) = read_body(&self.memory, class, body).await?.join();
         let decoded = connection.mark_kept(call::Answer::decode_call(head.status, &head.headers));
         if let Some(keep_alive) = decoded.keep_alive {
             self.put(connection, keep_alive);
@@ -347,17 +363,17 @@
     }
 }
 
-/// Reads the complete body of an answer.
+/// Reads the complete body of an answer, which takes memory of this class.
 ///
 /// # Errors
 ///
 /// When the connection breaks, the body is too large, or there is no memory for it.
 pub async fn read_body(
     memory: &rc::Rc<memory::Memory>,
+    class: account::Class,
     mut body: body::Incoming,
 ) -> Result<blocks::Blocks, Error> {
-    let answer = account::Class::Answer;
-    match blocks::collect(memory, answer, &mut body, MAX_ANSWER_BYTES).await {
+    match blocks::collect(memory, class, &mut body, MAX_ANSWER_BYTES).await {
         Ok(blocks) => Ok(blocks),
         Err(blocks::Error::Broken(err)) => Err(Error::Broken(err)),
         Err(blocks::Error::TooLarge) => Err(Error::TooLarge),
--- a/sequoiacrank-edge/src/duties/api.rs
+++ b/sequoiacrank-edge/src/duties/api.rs
@@ -8,6 +8,7 @@
 use quick_error::quick_error;
 use sequoiacrank_adapter::duty;
 use sequoiacrank_config::edge;
+use sequoiacrank_kernel::edge::memory as account;
 use sequoiacrank_kernel::edge::pace;
 use sequoiacrank_kernel::id;
 
@@ -203,7 +204,7 @@
     let sent = duties::steady_now();
     let exchange = async {
         let (head, body) = connection.send(request).await?.into_parts();
-        if let Err(err) = client::read_body(&host.memory, body).await {
+        if let Err(err) = client::read_body(&host.memory, account::Class::Control, body).await {
             // The status counts nevertheless.
             log::debug!(target: "duties", err = err.to_string().as_str(); "body of an answer lost");
         }
--- a/sequoiacrank-edge/src/duties/holder.rs
+++ b/sequoiacrank-edge/src/duties/holder.rs
@@ -8,6 +8,7 @@
 use sequoiacrank_adapter::store as topics;
 use sequoiacrank_kernel::edge::duty;
 use sequoiacrank_kernel::edge::duty::lease;
+use sequoiacrank_kernel::edge::memory as account;
 use sequoiacrank_kernel::id;
 
 use crate::client;
@@ -182,7 +183,11 @@
         let request = topics::append(topics::Topic::Duties, KEY, &value, Some(write.at));
         let timeout = self.period / CALL_PART;
         self.host.metrics.store_calls.inc();
-        let answer = self.host.pool.call(self.host.settings.store, request, timeout).await?;
+        let answer = self
+            .host
+            .pool
+            .call_as(account::Class::Control, self.host.settings.store, request, timeout)
+            .await?;
         Ok(topics::appended(answer.status, &answer.body)?)
     }
 
--- a/sequoiacrank-edge/src/exchange/mod.rs
+++ b/sequoiacrank-edge/src/exchange/mod.rs
@@ -24,6 +24,7 @@
 use sequoiacrank_kernel::edge::catalog;
 use sequoiacrank_kernel::edge::crash;
 use sequoiacrank_kernel::edge::fleet;
+use sequoiacrank_kernel::edge::memory as account;
 use sequoiacrank_kernel::id;
 use tokio::sync::watch;
 
@@ -315,7 +316,11 @@
         }
         let Upstream { connection, body, call, decoded, head } = upstream;
         let left = self.time_left();
-        let result = tokio::time::timeout(left, client::read_body(&self.host.memory, body)).await;
+        let result = tokio::time::timeout(
+            left,
+            client::read_body(&self.host.memory, account::Class::Answer, body),
+        )
+        .await;
         let body = match result.unwrap_or(Err(client::Error::Timeout)) {
             Ok(body) => body,
             Err(err) => {
--- a/sequoiacrank-edge/src/moves.rs
+++ b/sequoiacrank-edge/src/moves.rs
@@ -6,6 +6,7 @@
 
 use sequoiacrank_adapter::operator;
 use sequoiacrank_adapter::store as topics;
+use sequoiacrank_kernel::edge::memory as account;
 use sequoiacrank_kernel::edge::moves;
 use sequoiacrank_kernel::rollout;
 
@@ -135,7 +136,10 @@
     }
     let value = operator::encode_status(target, state)?;
     let request = topics::append(topics::Topic::Status, &key, &value, Some(page.end));
-    let answer = host.pool.call(host.settings.store, request, store::CALL_TIMEOUT).await?;
+    let answer = host
+        .pool
+        .call_as(account::Class::Control, host.settings.store, request, store::CALL_TIMEOUT)
+        .await?;
     let (status, state_name) = (answer.status.as_u16(), format!("{state:?}"));
     log::info!(target: "moves", service, version = target, state = state_name.as_str(), at = page.end, status; "status written");
     if answer.status == http::StatusCode::OK {
--- a/sequoiacrank-edge/src/store.rs
+++ b/sequoiacrank-edge/src/store.rs
@@ -10,6 +10,7 @@
 use quick_error::quick_error;
 use sequoiacrank_adapter::operator;
 use sequoiacrank_adapter::store;
+use sequoiacrank_kernel::edge::memory as account;
 use sequoiacrank_kernel::id;
 
 use crate::client;
@@ -91,7 +92,10 @@
     let mut after = None;
     loop {
         let request = store::newest(topic, after.as_deref());
-        let answer = host.pool.call(host.settings.store, request, CALL_TIMEOUT).await?;
+        let answer = host
+            .pool
+            .call_as(account::Class::Control, host.settings.store, request, CALL_TIMEOUT)
+            .await?;
         let page = store::newest_page(answer.status, &answer.body)?;
         // The pages are not a snapshot. Records that change meanwhile are read again, from the end
         // of the first page on.
@@ -113,7 +117,10 @@
 ) -> Result<(), Error> {
     let from = host.facts.borrow().records(topic).end();
     let request = store::read(topic, from, wait);
-    let answer = host.pool.call(host.settings.store, request, wait + HOLD_MARGIN).await?;
+    let answer = host
+        .pool
+        .call_as(account::Class::Control, host.settings.store, request, wait + HOLD_MARGIN)
+        .await?;
     let at = host.clock.now();
     match store::read_page(answer.status, answer.body, from)? {
         store::Read::Page(page) => host.apply_records(topic, page, false, at),
@@ -223,7 +230,10 @@
         if !listed && (alone || host.peers.members().store_position() < LISTED_HOSTS) {
             let request =
                 store::append(store::Topic::Hosts, &host.settings.host, own.as_bytes(), None);
-            let answer = host.pool.call(host.settings.store, request, CALL_TIMEOUT).await;
+            let answer = host
+                .pool
+                .call_as(account::Class::Control, host.settings.store, request, CALL_TIMEOUT)
+                .await;
             listed = answer.is_ok_and(|answer| answer.status == http::StatusCode::OK);
         }
         if alone {
--- a/sequoiacrank-kernel/src/edge/memory.rs
+++ b/sequoiacrank-kernel/src/edge/memory.rs
@@ -11,7 +11,7 @@
 
 /// Size in bytes up to which bodies may use the reserve.
 pub const SMALL_BYTES: usize = 64 << 10;
-/// Bytes of a message of another host that may use the reserve.
+/// Bytes of a message of another host that are always granted.
 pub const MESSAGE_BYTES: usize = 4 << 10;
 /// Time without progress after which an incomplete body may be evicted.
 pub const STALL_TIME: time::Duration = time::Duration::from_millis(500);
@@ -57,11 +57,15 @@
     /// A body of a request that is larger, or of which the size is unknown. It leaves room for
     /// answers: an answer without room is lost, while a request is only refused.
     Request,
-    /// An answer of an endpoint or of the store. Its first [`SMALL_BYTES`] may use all of the
+    /// An answer of the store or of the platform's API. It may use all of the budget, as endless
+    /// answers of endpoints could keep the host from reading its configuration otherwise.
+    Control,
+    /// An answer of an endpoint. Its first [`SMALL_BYTES`] may use all of the
     /// budget.
     Answer,
-    /// A message of another host. Its first [`MESSAGE_BYTES`] may use all of the budget, as most
-    /// messages are shorter. The rest leaves the reserve: anybody who reaches the address for hosts
+    /// A message of another host. Its first [`MESSAGE_BYTES`] are always granted, also if there is no
+    /// room, as most messages are shorter: a new link that is closed instead makes a live host look
+    /// lost. The bound on the connections of hosts bounds their sum. The rest leaves the reserve: anybody who reaches the address for hosts
     /// can announce long messages.
     Message,
 }
@@ -72,7 +76,7 @@
         match self {
             Class::Small | Class::Answer => SMALL_BYTES,
             Class::Message => MESSAGE_BYTES,
-            Class::Request => 0,
+            Class::Request | Class::Control => 0,
         }
     }
 }
@@ -203,7 +207,7 @@
     pub fn open(&mut self, now: id::Time, class: Class) -> HolderId {
         self.next += 1;
         // An answer is complete in the sense that it is not evicted: its request has run.
-        let complete = class == Class::Answer;
+        let complete = matches!(class, Class::Answer | Class::Control);
         let holder =
             Holder { class, bytes: 0, progressed: now, waiting: None, complete, evicted: false };
         self.holders.insert(self.next, holder);
@@ -252,13 +256,15 @@
         if more == 0 {
             return Decision::Granted;
         }
-        let is_small = holder.bytes + more <= holder.class.reserved();
+        let bytes = holder.bytes + more;
+        let is_first = holder.class == Class::Message && bytes <= MESSAGE_BYTES;
+        let is_small = bytes <= holder.class.reserved();
         let ceiling = if is_small { self.budget } else { self.ceiling(holder.class) };
         let excess = (self.held + more).saturating_sub(ceiling);
         let since = holder.waiting.unwrap_or(now);
         let is_large = holder.class == Class::Request;
         let is_turn = !is_large || self.waiting.first().is_none_or(|first| *first >= id);
-        if excess == 0 && is_turn {
+        if is_first || (excess == 0 && is_turn) {
             self.held += more;
             self.update(id, |holder| {
                 holder.bytes += more;
@@ -291,7 +297,7 @@
     fn ceiling(&self, class: Class) -> usize {
         let reserve = self.budget / RESERVE_DIVISOR;
         match class {
-            Class::Small => self.budget,
+            Class::Small | Class::Control => self.budget,
             Class::Answer | Class::Message => self.budget - reserve,
             Class::Request => self.budget - 2 * reserve,
         }
