--- a/sequoiacrank-edge/src/client.rs
+++ b/sequoiacrank-edge/src/client.rs
@@ -107,7 +107,11 @@
 /// When the system refuses one.
 pub fn configure_caller(stream: &TcpStream) -> io::Result<()> {
     configure_socket(stream)?;
-    socket2::SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT)
+    // Not every system has this option. Without it, slow callers are closed sooner under pressure.
+    if let Err(err) = socket2::SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT) {
+        log::debug!(target: "front", err = err.to_string().as_str(); "unsent bytes not bounded");
+    }
+    Ok(())
 }
 
 /// Aborts a task when it is dropped.
