--- a/sequoiacrank-edge/src/client.rs
+++ b/sequoiacrank-edge/src/client.rs
@@ -95,6 +95,25 @@
     socket.set_tcp_keepalive(&probes)
 }
 
+/// Bytes of answers that the system takes for a caller before they are sent. Without this bound it
+/// takes megabytes, and accepts more only once a large part of them was read, so that a caller that
+/// reads slowly could not be told from one that does not read.
+const MAX_UNSENT: u32 = 64 << 10;
+
+/// Sets the options of a connection of a caller.
+///
+/// # Errors
+///
+/// When the system refuses one.
+pub fn configure_caller(stream: &TcpStream) -> io::Result<()> {
+    configure_socket(stream)?;
+    // Not every system has this option. Without it, slow callers are closed sooner under pressure.
+    if let Err(err) = socket2::SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT) {
+        log::debug!(target: "front", err = err.to_string().as_str(); "unsent bytes not bounded");
+    }
+    Ok(())
+}
+
 /// Aborts a task when it is dropped.
 struct AbortOnDrop(task::JoinHandle<()>);
 
@@ -266,8 +285,7 @@
         self.opened.get()
     }
 
-    /// Sends a repeatable request and reads the complete answer. If the server has closed an idle
-    /// connection, the request is sent again on a new one.
+    /// [`Pool::call_as`] for the answer of an endpoint.
     ///
     /// # Errors
     ///
@@ -277,6 +295,22 @@
         address: net::SocketAddr,
         request: http::Request<Bytes>,
         timeout: time::Duration,
+    ) -> Result<Answer, Error> {
+        self.call_as(account::Class::Answer, address, request, timeout).await
+    }
+
+    /// Sends a repeatable request and reads the complete answer, which takes memory of `class`. If the server has closed an idle
+    /// connection, the request is sent again on a new one.
+    ///
+    /// # Errors
+    ///
+    /// When there is no complete answer within `timeout`.
+    pub async fn call_as(
+        &self,
+        class: account::Class,
+        address: net::SocketAddr,
+        request: http::Request<Bytes>,
+        timeout: time::Duration,
     ) -> Result<Answer, Error> {
         let request = request.map(blocks::Blocks::from);
         let call = async {
@@ -288,7 +322,7 @@
                 }
                 other => other?,
             };
-            self.read_answer(connection, answer).await
+            self.read_answer(class, connection, answer).await
         };
         tokio::time::timeout(timeout, call).await.map_err(|_| Error::Timeout)?
     }
@@ -310,7 +344,7 @@
         let call = async {
             let mut connection = self.connect(address).await?;
             let answer = connection.send(request).await?;
-            self.read_answer(connection, answer).await
+            self.read_answer(account::Class::Answer, connection, answer).await
         };
         tokio::time::timeout(timeout, call).await.map_err(|_| Error::Timeout)?
     }
@@ -318,11 +352,12 @@
     /// Reads the complete body of an answer and puts the connection back if it may be used again.
     async fn read_answer(
         &self,
+        class: account::Class,
         connection: Connection,
         answer: http::Response<body::Incoming>,
     ) -> Result<Answer, Error> {
         let (head, body) = answer.into_parts();
-        let (body, lease) = read_body(&self.memory, body).await?.join();
+        let (body, lease) = read_body(&self.memory, class, body).await?.join();
         let decoded = connection.mark_kept(call::Answer::decode_call(head.status, &head.headers));
         if let Some(keep_alive) = decoded.keep_alive {
             self.put(connection, keep_alive);
@@ -332,17 +367,17 @@
     }
 }
 
-/// Reads the complete body of an answer.
+/// Reads the complete body of an answer, which takes memory of this class.
 ///
 /// # Errors
 ///
 /// When the connection breaks, the body is too large, or there is no memory for it.
 pub async fn read_body(
     memory: &rc::Rc<memory::Memory>,
+    class: account::Class,
     mut body: body::Incoming,
 ) -> Result<blocks::Blocks, Error> {
-    let answer = account::Class::Answer;
-    match blocks::collect(memory, answer, &mut body, MAX_ANSWER_BYTES).await {
+    match blocks::collect(memory, class, &mut body, MAX_ANSWER_BYTES).await {
         Ok(blocks) => Ok(blocks),
         Err(blocks::Error::Broken(err)) => Err(Error::Broken(err)),
         Err(blocks::Error::TooLarge) => Err(Error::TooLarge),
