--- a/sequoiacrank-kernel/src/edge/memory.rs
+++ b/sequoiacrank-kernel/src/edge/memory.rs
@@ -60,13 +60,12 @@
     /// An answer of the store or of the platform's API. It may use all of the budget, as endless
     /// answers of endpoints could keep the host from reading its configuration otherwise.
     Control,
-    /// An answer of an endpoint. Its first [`SMALL_BYTES`] may use all of the
-    /// budget.
+    /// An answer of an endpoint. Its first [`SMALL_BYTES`] may use all of the budget.
     Answer,
     /// A message of another host. Its first [`MESSAGE_BYTES`] are always granted, also if there is no
     /// room, as most messages are shorter: a new link that is closed instead makes a live host look
-    /// lost. The bound on the connections of hosts bounds their sum. The rest leaves the reserve: anybody who reaches the address for hosts
-    /// can announce long messages.
+    /// lost. The bound on the connections of hosts bounds their sum. The rest leaves the reserve:
+    /// anybody who reaches the address for hosts can announce long messages.
     Message,
 }
 
