--- a/sequoiacrank-edge/src/client.rs
+++ b/sequoiacrank-edge/src/client.rs
@@ -299,8 +299,8 @@
         self.call_as(account::Class::Answer, address, request, timeout).await
     }
 
-    /// Sends a repeatable request and reads the complete answer, which takes memory of `class`. If the server has closed an idle
-    /// connection, the request is sent again on a new one.
+    /// Sends a repeatable request and reads the complete answer, which takes memory of `class`. If
+    /// the server has closed an idle connection, the request is sent again on a new one.
     ///
     /// # Errors
     ///
