--- a/review/lib-2/replica.py
+++ b/review/lib-2/replica.py
@@ -1,6 +1,9 @@
-"""A replica: NAME [EVENTS GAP_MS]. Answers a request with a stream of EVENTS events, one each
-GAP_MS, whose answer has neither a length nor chunks and ends with its connection, as the users'
-pages allow. Prints its port, then one line for each request that it runs."""
+"""A replica: NAME stream EVENTS GAP_MS, or NAME plain WORK_MS.
+
+The first answers a request with a stream of EVENTS events, one each GAP_MS, whose answer has neither
+a length nor chunks and ends with its connection, as the users' pages allow. The second answers after
+WORK_MS with a length. Each prints its port, then one line for each request that it runs,
+with the time of the system's monotonic clock."""
 
 import socket
 import sys
@@ -8,12 +11,12 @@
 import time
 
 NAME = sys.argv[1]
-EVENTS = int(sys.argv[2])
-GAP = int(sys.argv[3]) / 1000
+KIND = sys.argv[2]
+NUMBERS = [int(number) for number in sys.argv[3:]]
 
 
 def say(text):
-    sys.stdout.write(text + "\n")
+    sys.stdout.write(f"{time.monotonic():.6f} {text}\n")
     sys.stdout.flush()
 
 
@@ -37,16 +40,27 @@
             f"Sequoiacrank-Attempt-Id: {attempt}\r\nContent-Length: 0\r\n\r\n".encode()
         )
         return
+    if KIND == "plain":
+        say(f"runs {attempt}")
+        time.sleep(NUMBERS[0] / 1000)
+        body = f"done by {NAME}\n"
+        connection.sendall(
+            f"HTTP/1.1 200 OK\r\nSequoiacrank-Attempt-Id: {attempt}\r\nConnection: close\r\n"
+            f"Sequoiacrank-Server-Seal: {NAME}.{attempt}\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode()
+        )
+        say(f"ends {attempt}")
+        return
+    events, gap = NUMBERS[0], NUMBERS[1] / 1000
     first = int(headers.get("last-event-id", "0")) + 1
     say(f"runs {attempt} from event {first}")
     connection.sendall(
         f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n"
         f"Sequoiacrank-Attempt-Id: {attempt}\r\nSequoiacrank-Server-Seal: {NAME}.{attempt}\r\n\r\n".encode()
     )
-    for number in range(first, EVENTS + 1):
-        time.sleep(GAP)
-        connection.sendall(f"id: {number}\ndata: event {number} of {EVENTS}\n\n".encode())
-    say(f"ends {attempt} after event {EVENTS}")
+    for number in range(first, events + 1):
+        time.sleep(gap)
+        connection.sendall(f"id: {number}\ndata: event {number} of {events}\n\n".encode())
+    say(f"ends {attempt} after event {events}")
 
 
 def guarded(connection):
--- a/review/lib-2/world.py
+++ b/review/lib-2/world.py
@@ -29,9 +29,15 @@
 
 
 def free_port():
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """A port that is free, outside of the range from which the system takes ports itself."""
+    while True:
+        port = random.randrange(20000, 32000)
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                pass
 
 
 class Record:
@@ -64,12 +70,22 @@
     def __init__(self):
         self.topics = {}
         self.changed = asyncio.Event()
-        self.address = None
-
-    async def start(self):
-        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
-        self.server = server
+        self.servers = []
+        self.down = False
+        self.last_reader = None
+
+    async def open(self, name):
+        """Listens for one host, so that its calls can be told from those of others."""
+        serve = lambda reader, writer: self.serve(name, reader, writer)
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.servers.append(server)
+        return "127.0.0.1:%d" % server.sockets[0].getsockname()[1]
+
+    def set_down(self, down):
+        """While the store is down, it is silent: calls get no answer, also not later."""
+        self.down = down
+        self.changed.set()
+        self.changed = asyncio.Event()
 
     def append(self, topic, key, value):
         records = self.topics.setdefault(topic, [])
@@ -78,13 +94,21 @@
         self.changed = asyncio.Event()
         return len(records)
 
-    async def serve(self, reader, writer):
+    async def serve(self, name, reader, writer):
         try:
             while True:
                 line, headers = await read_head(reader)
                 method, target, _ = line.split(" ")
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
+                if self.down:
+                    await reader.read()
+                    return
                 status, kind, answer = await self.answer(method, target, body)
+                if self.down:
+                    await reader.read()
+                    return
+                if "log-read" in target and "keyed.servers" in target:
+                    self.last_reader = name
                 head = f"HTTP/1.1 {status} x\r\nContent-Type: {kind}\r\nContent-Length: {len(answer)}\r\n\r\n"
                 writer.write(head.encode() + answer)
                 await writer.drain()
@@ -114,7 +138,7 @@
         if url.path == "/sequoiacrank/log-read":
             start, wait = int(query["from"]), int(query.get("waitMs", "0")) / 1000
             until = time.monotonic() + wait
-            while len(records) <= start and time.monotonic() < until:
+            while len(records) <= start and time.monotonic() < until and not self.down:
                 try:
                     await asyncio.wait_for(self.changed.wait(), until - time.monotonic())
                 except asyncio.TimeoutError:
@@ -164,7 +188,6 @@
     async def start(self):
         if not os.path.exists(os.path.join(ROOT, PROGRAM[0])):
             raise CannotRun("the program of the deploy file is not built")
-        await self.store.start()
 
     # The operator.
 
@@ -196,7 +219,7 @@
         self.processes.append(process)
         return process
 
-    def start_hosts(self, zones, grace="8s"):
+    async def start_hosts(self, zones, grace="8s"):
         plans = [(f"edge-{zone}-{index + 1}", zone, [free_port() for _ in range(4)]) for index, zone in enumerate(zones)]
         seeds = [f"127.0.0.1:{ports[2]}" for _, _, ports in plans][:3]
         for name, zone, ports in plans:
@@ -208,7 +231,7 @@
                 "peer": f"127.0.0.1:{ports[2]}",
                 "metrics": f"127.0.0.1:{ports[3]}",
                 "seeds": seeds,
-                "store": self.store.address,
+                "store": await self.store.open(name),
                 "cpu_share": 0.25,
                 "grace": grace,
                 "retries": {"ratio": 0.2, "slack": 54, "span": "10s"},
@@ -254,13 +277,13 @@
         """Starts a replica process; it prints its port, then one line for each thing that it does."""
         command = [sys.executable, "-u", os.path.join(HERE, "replica.py"), name, *options]
         process = self.spawn(command, stdout=subprocess.PIPE, text=True)
-        port = int(process.child.stdout.readline())
+        port = int(process.child.stdout.readline().split()[1])
         entry = {
             "service": service, "address": f"127.0.0.1:{port}", "zone": zone, "version": version,
             "slots": 128, "state": "ready", "coldLeftMs": 0, "sequence": 0,
             "born": int(time.time() * 1000),
         }
-        replica = {"name": name, "process": process, "entry": entry, "alive": True, "lines": []}
+        replica = {"name": name, "process": process, "entry": entry, "alive": True, "removed": False, "lines": []}
         self.replicas[name] = replica
         loop = asyncio.get_running_loop()
         loop.run_in_executor(None, self.follow, replica, loop)
@@ -273,23 +296,71 @@
             loop.call_soon_threadsafe(self.note, replica, line.strip())
 
     def note(self, replica, line):
-        replica["lines"].append((time.monotonic(), line))
+        at, line = line.split(" ", 1)
+        replica["lines"].append((float(at), line))
         self.record.line(f"{replica['name']}: {line}")
 
     async def heartbeats(self, replica):
-        """The replica's own entry in the store; it goes after three intervals of silence."""
+        """The replica's own entry in the store. It changes when more than `sequence` changes, and is
+        removed after three intervals without a write, also while the store is down."""
+        name, shown, written = replica["name"], None, time.monotonic()
         while replica["alive"]:
-            replica["entry"]["sequence"] += 1
-            self.store.append("keyed.servers", replica["name"], json.dumps(replica["entry"]).encode())
-            await asyncio.sleep(HEARTBEAT)
-        await asyncio.sleep(2 * HEARTBEAT)
-        self.store.append("keyed.servers", replica["name"], b"")
+            if not self.store.down:
+                replica["entry"]["sequence"] += 1
+                written = time.monotonic()
+                now = {k: v for k, v in replica["entry"].items() if k != "sequence"}
+                if now != shown:
+                    shown = now
+                    self.store.append("keyed.servers", name, json.dumps(replica["entry"]).encode())
+                    self.record.line(f"store: entry of {name} written, {now['state']}")
+            due = time.monotonic() + HEARTBEAT
+            while replica["alive"] and time.monotonic() < due:
+                await asyncio.sleep(0.02)
+                if shown and time.monotonic() > written + 3 * HEARTBEAT:
+                    shown = None
+                    self.store.append("keyed.servers", name, b"")
+                    self.record.line(f"store: entry of {name} lapsed")
+        if shown and not replica["removed"]:
+            await asyncio.sleep(max(0, written + 3 * HEARTBEAT - time.monotonic()))
+            self.store.append("keyed.servers", name, b"")
 
     def kill_replica(self, replica):
         replica["alive"] = False
         replica["process"].child.kill()
         self.record.line(f"{replica['name']}: process killed (SIGKILL)")
 
+    def drain_replica(self, replica):
+        """Planned work: the replica reports that it leaves. The store accepts that at once."""
+        replica["entry"]["state"] = "draining"
+        replica["entry"]["sequence"] += 1
+        self.store.append("keyed.servers", replica["name"], json.dumps(replica["entry"]).encode())
+        self.record.line(f"{replica['name']}: reports draining")
+
+    def remove_entry(self, replica):
+        """Planned work: the replica leaves without a report; its entry is removed."""
+        replica["alive"], replica["removed"] = False, True
+        self.store.append("keyed.servers", replica["name"], b"")
+        self.record.line(f"{replica['name']}: leaves, its entry is removed")
+
+    def stop_replica(self, replica):
+        """Planned work: the replica has served for long enough, removes its entry and exits."""
+        replica["alive"] = False
+        replica["process"].child.terminate()
+        self.record.line(f"{replica['name']}: exits")
+
+    def stop_host(self, host):
+        """Planned work: SIGTERM; the host is started again once it has ended."""
+        host["stopped"] = time.monotonic()
+        host["process"].child.terminate()
+        self.record.line(f"{host['name']}: SIGTERM")
+        self.tasks.append(asyncio.create_task(self.restart_host(host)))
+
+    async def restart_host(self, host):
+        while host["process"].child.poll() is None:
+            await asyncio.sleep(0.05)
+        self.record.line(f"{host['name']}: ended with {host['process'].child.returncode}")
+        self.start_host(host)
+
     # Callers.
 
     async def call(self, host, path, budget_ms, method="POST", body=b"{}", headers=(), attempt=None):
