--- a/review/6/case.py
+++ b/review/6/case.py
@@ -19,7 +19,7 @@
 CONTACT_S = 3.0  # contactMs of the site
 GAP_S = 0.84  # between two replicas of a release
 LEAVERS = 5  # of 12: a share of 0.42
-CYCLES = 5
+CYCLES = 6
 
 
 async def case(world, trouble):
@@ -33,7 +33,7 @@
     replicas = []
     for number in range(PER_ZONE):
         for zone in ZONES:
-            replicas.append(await world.start_replica(f"i-{zone}-{number}", "desk", zone, "plain", str(WORK_MS)))
+            replicas.append(await world.start_replica(f"i-{zone}-{number}", "desk", zone, str(WORK_MS)))
             await asyncio.sleep(0.07)
     await world.start_hosts(HOSTS)
     await world.wait_ready()
@@ -47,7 +47,7 @@
         while not stop.is_set():
             number += 1
             calls.append(asyncio.create_task(one(host, number)))
-            await asyncio.sleep(0.25)
+            await asyncio.sleep(0.12)
 
     async def one(host, number):
         result = await world.call(host, f"/bobo563/{number}", 1500, body=b"release")
@@ -69,14 +69,14 @@
         leaving, present = present[:LEAVERS], present[LEAVERS:]
         for number, leaver in enumerate(leaving):
             name = f"i-{leaver['entry']['zone']}-{cycle}-{number}"
-            present.append(await world.start_replica(name, "desk", leaver["entry"]["zone"], "plain", str(WORK_MS)))
+            present.append(await world.start_replica(name, "desk", leaver["entry"]["zone"], str(WORK_MS)))
             await asyncio.sleep(GAP_S / 2)
             world.remove_entry(leaver)
             leaver["left"] = time.monotonic()
             asyncio.get_running_loop().call_later(DRAIN_S + LONGER_S, world.stop_replica, leaver)
             await asyncio.sleep(GAP_S / 2)
         leavers += leaving
-        await asyncio.sleep(DRAIN_S + LONGER_S + 0.5)
+        await asyncio.sleep(DRAIN_S + LONGER_S + 0.2)
     stop.set()
     await asyncio.gather(*callers, *calls)
 
