--- a/sequoiacrank-edge/src/client.rs
+++ b/sequoiacrank-edge/src/client.rs
@@ -208,6 +208,8 @@
 pub struct Answer {
     /// Status of the answer.
     pub status: http::StatusCode,
+    /// Headers of the answer.
+    pub headers: http::HeaderMap,
     /// Body of the answer.
     pub body: Bytes,
     /// Keeps the memory of the body accounted for.
@@ -363,7 +365,8 @@
             self.put(connection, keep_alive);
         }
         let call::Answer { notice, matches_request: certain, .. } = decoded;
-        Ok(Answer { status: head.status, body, _lease: lease, notice, certain })
+        let http::response::Parts { status, headers, .. } = head;
+        Ok(Answer { status, headers, body, _lease: lease, notice, certain })
     }
 }
 
--- a/sequoiacrank-edge/src/store.rs
+++ b/sequoiacrank-edge/src/store.rs
@@ -124,7 +124,12 @@
     let at = host.clock.now();
     match store::read_page(answer.status, answer.body, from)? {
         store::Read::Page(page) => host.apply_records(topic, page, false, at),
-        store::Read::Gone => host.apply_records(topic, newest(host, topic).await?, true, at),
+        store::Read::Gone => {
+            let page = newest(host, topic).await?;
+            let (topic_name, era) = (format!("{topic:?}"), store::era(&answer.headers));
+            log::info!(target: "store", topic = topic_name.as_str(), era, from, end = page.end; "history gone");
+            host.apply_records(topic, page, true, at);
+        }
     }
     Ok(())
 }
