--- a/sequoiacrank-edge/src/duties/holder.rs
+++ b/sequoiacrank-edge/src/duties/holder.rs
@@ -9,6 +9,7 @@
 use sequoiacrank_kernel::edge::duty;
 use sequoiacrank_kernel::edge::duty::lease;
 use sequoiacrank_kernel::edge::memory as account;
+use sequoiacrank_kernel::edge::records::order;
 use sequoiacrank_kernel::id;
 
 use crate::client;
@@ -62,6 +63,8 @@
     unreadable: Option<id::Offset>,
     /// Whether the last call to the store failed.
     failing: bool,
+    /// Era of the last answer of the store.
+    era: id::Era,
 }
 
 /// Acquires, renews and releases the lease for as long as the host runs.
@@ -69,7 +72,7 @@
     let Some(lease) = &host.duties.lease else { return };
     let period = lease.borrow().period();
     let mut task =
-        Task { host: &host, lease, period, published: 0, unreadable: None, failing: false };
+        Task { host: &host, lease, period, published: 0, unreadable: None, failing: false, era: 0 };
     loop {
         let facts = task.facts();
         let action = lease.borrow_mut().next(duties::steady_now(), &facts);
@@ -138,6 +141,7 @@
         match result {
             Ok(reading) => {
                 self.failing = false;
+                self.record_era(order::Position::from_ordinal(reading.end).era);
                 self.lease.borrow_mut().record_read(started, now, reading);
             }
             Err(err) => {
@@ -148,9 +152,10 @@
     }
 
     fn decode(&mut self, page: topics::Page) -> lease::Reading {
-        let end = page.end;
-        let newest = page.records.into_iter().filter(|it| it.key == KEY).max_by_key(|it| it.offset);
-        let offset = newest.as_ref().map(|it| it.offset);
+        let end = page.end.ordinal();
+        let newest =
+            page.records.into_iter().filter(|it| it.key == KEY).max_by_key(|it| it.position);
+        let offset = newest.as_ref().map(|it| it.position.ordinal());
         let seen = match newest.and_then(|it| it.value).map(|value| record::decode(&value)) {
             None => lease::Seen::Missing,
             Some(Ok(record)) => lease::Seen::Record(record),
@@ -168,8 +173,12 @@
 
     async fn append(&mut self, write: lease::Write) {
         let written = match self.try_append(write).await {
-            Ok(topics::Appended::Done(end)) => lease::Written::Done(end),
-            Ok(topics::Appended::Conflict(_)) => lease::Written::Conflict,
+            // The restored store happened to end at the same offset.
+            Ok((era, topics::Appended::Done(_))) if era != self.era => return self.record_era(era),
+            Ok((era, topics::Appended::Done(end))) => {
+                lease::Written::Done(order::Position::new(era, end).ordinal())
+            }
+            Ok((_, topics::Appended::Conflict(_))) => lease::Written::Conflict,
             Err(err) => {
                 self.log_failure("record not known to be written", &err.to_string());
                 lease::Written::Unknown
@@ -178,9 +187,18 @@
         self.lease.borrow_mut().record_append(duties::steady_now(), written);
     }
 
-    async fn try_append(&self, write: lease::Write) -> Result<topics::Appended, Error> {
+    /// Records the era of an answer of the store.
+    fn record_era(&mut self, era: id::Era) {
+        let last = std::mem::replace(&mut self.era, era);
+        if last != 0 && last != era {
+            self.lease.borrow_mut().record_restored();
+        }
+    }
+
+    async fn try_append(&self, write: lease::Write) -> Result<(id::Era, topics::Appended), Error> {
         let value = record::encode(write.record)?;
-        let request = topics::append(topics::Topic::Duties, KEY, &value, Some(write.at));
+        let at = order::Position::from_ordinal(write.at).offset;
+        let request = topics::append(topics::Topic::Duties, KEY, &value, Some(at));
         let timeout = self.period / CALL_PART;
         self.host.metrics.store_calls.inc();
         let answer = self
@@ -188,7 +206,7 @@
             .pool
             .call_as(account::Class::Control, self.host.settings.store, request, timeout)
             .await?;
-        Ok(topics::appended(answer.status, &answer.body)?)
+        Ok((topics::era(&answer.headers), topics::appended(answer.status, &answer.body)?))
     }
 
     /// Logs the first of several failures in a row.
--- a/sequoiacrank-edge/src/facts.rs
+++ b/sequoiacrank-edge/src/facts.rs
@@ -7,6 +7,7 @@
 use sequoiacrank_adapter::operator;
 use sequoiacrank_adapter::registration;
 use sequoiacrank_adapter::store;
+use sequoiacrank_adapter::values;
 use sequoiacrank_kernel::edge::budget;
 use sequoiacrank_kernel::edge::catalog;
 use sequoiacrank_kernel::edge::crash;
@@ -14,6 +15,7 @@
 use sequoiacrank_kernel::edge::fleet;
 use sequoiacrank_kernel::edge::moves;
 use sequoiacrank_kernel::edge::records;
+use sequoiacrank_kernel::edge::records::order;
 use sequoiacrank_kernel::edge::session;
 use sequoiacrank_kernel::edge::stage::shard;
 use sequoiacrank_kernel::id;
@@ -22,9 +24,37 @@
 /// Age of the endpoints' records from which on the store counts as having had an outage. Entries
 /// that are missing afterwards may have lapsed only because they could not be renewed during it.
 const OUTAGE_AGE: time::Duration = time::Duration::from_millis(1500);
-/// Time after an outage within which live endpoints renew their entries.
+/// Time after an outage within which live endpoints renew their entries. What operators wrote and a
+/// restored store has lost is written again within it as well.
 const RENEWAL_TIME: time::Duration = time::Duration::from_secs(2);
 
+/// Records of the topics that hosts follow.
+struct Topics {
+    operators: records::Records<Bytes>,
+    endpoints: records::Records<Bytes>,
+}
+
+impl Default for Topics {
+    fn default() -> Self {
+        Topics {
+            operators: records::Records::new(&values::Operators, Some(RENEWAL_TIME)),
+            endpoints: records::Records::new(&values::Endpoints, None),
+        }
+    }
+}
+
+/// A list of records from the store or from another host.
+pub struct Update {
+    /// The records.
+    pub records: Vec<store::Record>,
+    /// Position up to which the list reaches.
+    pub end: order::Position,
+    /// What it covers.
+    pub scope: records::Scope,
+    /// Time as of which these were the newest records in the store.
+    pub at: id::Time,
+}
+
 /// The newest records of the store and the state that is derived from them.
 #[derive(Default)]
 pub struct Facts {
@@ -42,13 +72,12 @@
     pub sessions: session::Sessions,
     /// Batchers that form the calls of stage work.
     pub shards: shard::Shards,
-    /// Offset of the endpoints' records up to which changes were announced to other hosts.
-    pub announced: id::Offset,
-    /// Offset of the last record that changed an endpoint, by endpoint. Records that only renew an
+    /// Position of the endpoints' records up to which changes were announced to other hosts.
+    pub announced: order::Position,
+    /// Position of the last record that changed an endpoint, by endpoint. Records that only renew an
     /// entry do not count.
-    change_offsets: map::FastMap<id::EndpointId, id::Offset>,
-    operators: records::Records<Bytes>,
-    endpoints: records::Records<Bytes>,
+    change_positions: map::FastMap<id::EndpointId, order::Position>,
+    topics: Topics,
     /// Endpoints whose entry lapsed during an outage, with the time at which they are removed.
     lapsed: map::FastMap<id::EndpointId, id::Time>,
     /// When the last outage ended.
@@ -64,38 +93,37 @@
     /// Records of a topic.
     pub fn records(&self, topic: store::Topic) -> &records::Records<Bytes> {
         match topic {
-            store::Topic::Operators => &self.operators,
-            _ => &self.endpoints,
+            store::Topic::Operators => &self.topics.operators,
+            _ => &self.topics.endpoints,
         }
     }
 
     /// Records of a topic, for recording what is requested from other hosts.
     pub fn records_mut(&mut self, topic: store::Topic) -> &mut records::Records<Bytes> {
         match topic {
-            store::Topic::Operators => &mut self.operators,
-            _ => &mut self.endpoints,
+            store::Topic::Operators => &mut self.topics.operators,
+            _ => &mut self.topics.endpoints,
         }
     }
 
-    /// Applies records of a topic as of the time `at`; `complete` if they are all of the topic.
-    /// Returns whether the configuration or the endpoints that may be used may have changed.
-    pub fn apply_records(
-        &mut self,
-        topic: store::Topic,
-        page: store::Page,
-        complete: bool,
-        now: id::Time,
-        at: id::Time,
-    ) -> bool {
-        if topic == store::Topic::Endpoints {
-            self.detect_outage(now, at);
-        }
+    /// Applies records of a topic. Returns whether the configuration or the endpoints that may be
+    /// used may have changed.
+    pub fn apply_records(&mut self, now: id::Time, topic: store::Topic, update: Update) -> bool {
+        let Update { records: list, end, scope, at } = update;
         let known = self.records(topic).current_at().is_some();
-        let records = self.records_mut(topic);
-        let changed = match complete {
-            true => records.replace(page.records, page.end, at),
-            false => records.merge(page.records, page.end, at),
-        };
+        let is_restored = known && end.era > self.records(topic).end().era;
+        match topic {
+            store::Topic::Endpoints if is_restored => self.outage_end = Some(now),
+            store::Topic::Endpoints => self.detect_outage(now, at),
+            _ if is_restored => self.moves.forget_stored(),
+            _ => {}
+        }
+        if is_restored {
+            let known = self.records(topic).end().to_string();
+            let (topic, position) = (format!("{topic:?}"), end.to_string());
+            log::info!(target: "store", topic = topic.as_str(), position = position.as_str(), known = known.as_str(); "restored");
+        }
+        let changed = self.records_mut(topic).apply(now, list, end, at, scope);
         let has_changes = match topic {
             store::Topic::Operators => self.apply_operators(now, &changed, known),
             _ => self.apply_endpoints(now, &changed),
@@ -107,18 +135,18 @@
     }
 
     /// Records that the endpoints' records up to `end` were the newest ones at the time `at`.
-    pub fn confirm_current(&mut self, now: id::Time, end: id::Offset, at: id::Time) {
-        if self.endpoints.current_at().is_some_and(|current| at > current)
-            && end <= self.endpoints.end()
-        {
+    pub fn confirm_current(&mut self, now: id::Time, end: order::Position, at: id::Time) {
+        let known = &self.topics.endpoints;
+        if known.current_at().is_some_and(|current| at > current) && end <= known.end() {
             self.detect_outage(now, at);
-            self.endpoints.confirm_current(at);
+            self.topics.endpoints.confirm_current(at);
         }
     }
 
     /// Detects the end of an outage when records as of the time `at` arrive.
     fn detect_outage(&mut self, now: id::Time, at: id::Time) {
-        if self.endpoints.current_at().is_some_and(|current| at > current + OUTAGE_AGE) {
+        let current_at = self.topics.endpoints.current_at();
+        if current_at.is_some_and(|current| at > current + OUTAGE_AGE) {
             self.outage_end = Some(now);
         }
     }
@@ -151,7 +179,7 @@
         if zones_changed {
             let out: map::FastSet<id::ZoneId> = self.out_zones().collect();
             let names = out.iter().cloned().collect::<Vec<_>>().join(",");
-            log::info!(target: "operators", zones = names.as_str(), offset = self.operators.end(); "zones out of service");
+            log::info!(target: "operators", zones = names.as_str(), position = self.topics.operators.end().to_string().as_str(); "zones out of service");
             self.fleet.set_out_zones(now, out);
         }
         !changed.is_empty()
@@ -159,7 +187,7 @@
 
     /// The availability zones that operators have taken out of service.
     pub fn out_zones(&self) -> impl Iterator<Item = id::ZoneId> {
-        self.operators.iter().filter_map(|(key, _)| match operator::Key::parse(key) {
+        self.topics.operators.iter().filter_map(|(key, _)| match operator::Key::parse(key) {
             operator::Key::ZoneOut(zone) => Some(zone),
             _ => None,
         })
@@ -168,14 +196,14 @@
     /// Applies the operators' orders to move services to new versions.
     fn update_orders(&mut self, now: id::Time, known: bool) {
         let mut orders = map::FastMap::default();
-        for (key, value) in self.operators.iter() {
+        for (key, value) in self.topics.operators.iter() {
             let operator::Key::Move(service) = operator::Key::parse(key) else { continue };
-            let offset = self.operators.offset(key).unwrap_or_default();
-            match operator::decode_order(value, offset) {
+            let position = self.topics.operators.position(key).unwrap_or_default();
+            match operator::decode_order(value, position) {
                 Ok(order) => drop(orders.insert(service, order)),
                 Err(err) => {
-                    let err = err.to_string();
-                    log::error!(target: "operators", key = key.as_str(), offset, err = err.as_str(); "move order cannot be decoded");
+                    let (position, err) = (position.to_string(), err.to_string());
+                    log::error!(target: "operators", key = key.as_str(), position = position.as_str(), err = err.as_str(); "move order cannot be decoded");
                 }
             }
         }
@@ -184,13 +212,13 @@
 
     /// Applies the operators' configuration, unless it is older than the one in force.
     fn update_catalog(&mut self) {
-        let Some(value) = self.operators.get("config") else { return };
+        let Some(value) = self.topics.operators.get("config") else { return };
         let version = self.catalog.as_ref().map_or(0, |catalog| catalog.version);
         match operator::decode_configuration(value) {
             Ok(catalog) if catalog.version >= version => {
                 let version = catalog.version;
-                let (offset, bytes) = (self.operators.end(), value.len());
-                log::info!(target: "operators", version, offset, bytes; "configuration in force");
+                let (position, bytes) = (self.topics.operators.end().to_string(), value.len());
+                log::info!(target: "operators", version, position = position.as_str(), bytes; "configuration in force");
                 self.catalog = Some(sync::Arc::new(catalog));
             }
             Ok(catalog) => {
@@ -207,11 +235,12 @@
     fn apply_endpoints(&mut self, now: id::Time, changed: &[String]) -> bool {
         let mut has_changes = false;
         for id in changed {
-            let offset = self.endpoints.offset(id).unwrap_or_default();
-            let entry = self.endpoints.get(id).map(|value| registration::decode(id, value));
+            let position = self.topics.endpoints.position(id).unwrap_or_default();
+            let entry = self.topics.endpoints.get(id).map(|value| registration::decode(id, value));
             match entry {
                 Some(Some(entry)) => {
-                    self.lapsed.remove(id);
+                    // Other hosts have marked it as lapsed as well.
+                    let renewed = self.lapsed.remove(id).is_some();
                     let same = self.fleet.get(id).is_some_and(|it| it.is_equivalent(&entry));
                     let leaving = entry.leaving;
                     let service = entry.service.clone();
@@ -219,15 +248,18 @@
                     if started {
                         self.crashes.record_down(now, id);
                     }
+                    if !same || renewed {
+                        self.change_positions.insert(id.clone(), position);
+                    }
                     if !same {
-                        self.change_offsets.insert(id.clone(), offset);
                         has_changes = true;
-                        log::info!(target: "endpoints", endpoint = id.as_str(), service = service.as_str(), started, leaving, offset; "registered");
+                        let position = position.to_string();
+                        log::info!(target: "endpoints", endpoint = id.as_str(), service = service.as_str(), started, leaving, position = position.as_str(); "registered");
                     }
                 }
-                Some(None) => has_changes |= self.reject_entry(id, offset),
+                Some(None) => has_changes |= self.reject_entry(id, position),
                 None => {
-                    self.change_offsets.insert(id.clone(), offset);
+                    self.change_positions.insert(id.clone(), position);
                     has_changes |= self.remove_endpoint(now, id);
                 }
             }
@@ -237,15 +269,16 @@
 
     /// Removes the endpoint of an entry that is malformed, as an entry of another writer may be.
     /// Returns whether it was known.
-    fn reject_entry(&mut self, id: &str, offset: id::Offset) -> bool {
+    fn reject_entry(&mut self, id: &str, position: order::Position) -> bool {
         self.lapsed.remove(id);
         let known = self.fleet.remove(id);
         // Only the first malformed entry of a key is a change for other hosts.
-        if known || !self.change_offsets.contains_key(id) {
-            self.change_offsets.insert(id.to_owned(), offset);
+        if known || !self.change_positions.contains_key(id) {
+            self.change_positions.insert(id.to_owned(), position);
         }
         if known {
-            log::warn!(target: "endpoints", endpoint = id, offset; "entry malformed");
+            let position = position.to_string();
+            log::warn!(target: "endpoints", endpoint = id, position = position.as_str(); "entry malformed");
         }
         known
     }
@@ -263,8 +296,9 @@
                 let known = self.fleet.remove(id);
                 self.crashes.record_down(now, id);
                 if known {
-                    let offset = self.endpoints.offset(id);
-                    log::info!(target: "endpoints", endpoint = id, offset; "gone");
+                    let position = self.topics.endpoints.position(id).unwrap_or_default();
+                    let position = position.to_string();
+                    log::info!(target: "endpoints", endpoint = id, position = position.as_str(); "gone");
                 }
                 known
             }
@@ -276,19 +310,21 @@
         self.fleet.usable().filter(|entry| !self.moves.excludes(entry))
     }
 
-    /// The endpoints' records from an offset on that changed an endpoint.
-    pub fn changed_since(&self, from: id::Offset) -> Vec<store::Record> {
+    /// The endpoints' records from a position on that changed an endpoint.
+    pub fn changed_since(&self, from: order::Position) -> Vec<store::Record> {
         let is_change = |record: &store::Record| {
-            self.change_offsets.get(&record.key).is_some_and(|&offset| offset >= from)
+            self.change_positions.get(&record.key).is_some_and(|&position| position >= from)
         };
-        self.endpoints.since(from).into_iter().filter(is_change).collect()
+        self.topics.endpoints.since(from).into_iter().filter(is_change).collect()
     }
 
-    /// Removes endpoints whose entry lapsed during an outage and was not renewed. Returns whether
-    /// there were any.
-    pub fn expire(&mut self, now: id::Time) -> bool {
+    /// Removes endpoints whose entry lapsed during an outage, and had not been renewed when the
+    /// records were read after the time for that. Returns whether there were any.
+    pub fn expire(&mut self) -> bool {
+        let current_at = self.topics.endpoints.current_at().unwrap_or_default();
+        let is_over = |(_, at): &(&id::EndpointId, &id::Time)| current_at >= **at;
         let expired: Vec<id::EndpointId> =
-            self.lapsed.iter().filter(|(_, at)| now >= **at).map(|(id, _)| id.clone()).collect();
+            self.lapsed.iter().filter(is_over).map(|(id, _)| id.clone()).collect();
         for id in &expired {
             self.lapsed.remove(id);
             self.fleet.remove(id);
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -13,6 +13,8 @@
 use sequoiacrank_kernel::edge::members::statement;
 use sequoiacrank_kernel::edge::moves;
 use sequoiacrank_kernel::edge::pace;
+use sequoiacrank_kernel::edge::records;
+use sequoiacrank_kernel::edge::records::order;
 use sequoiacrank_kernel::id;
 use sequoiacrank_kernel::map;
 use tokio::net::TcpListener;
@@ -167,17 +169,11 @@
         *self.reloadable.borrow_mut() = next;
     }
 
-    /// Applies records of the store as of the time `at`; `complete` if they are all of the topic.
-    pub fn apply_records(
-        self: &rc::Rc<Self>,
-        topic: topics::Topic,
-        page: topics::Page,
-        complete: bool,
-        at: id::Time,
-    ) {
+    /// Applies records of the store.
+    pub fn apply_records(self: &rc::Rc<Self>, topic: topics::Topic, update: facts::Update) {
         let now = self.clock.now();
         let end = self.facts.borrow().records(topic).end();
-        let changed = self.facts.borrow_mut().apply_records(topic, page, complete, now, at);
+        let changed = self.facts.borrow_mut().apply_records(now, topic, update);
         if changed {
             front::update_limits(self);
             self.batcher.update(self);
@@ -193,11 +189,16 @@
     /// The part of a heartbeat that is the same for all neighbours.
     pub fn heartbeat(&self) -> wire::Pulse {
         let facts = self.facts.borrow();
+        let operators = facts.records(topics::Topic::Operators);
         let endpoints = facts.records(topics::Topic::Endpoints);
         let age = endpoints.current_at().map(|at| self.clock.now().saturating_sub(at));
         wire::Pulse {
-            operators: facts.records(topics::Topic::Operators).end(),
-            endpoints: endpoints.end(),
+            operators: operators.end().offset,
+            operators_era: operators.end().era,
+            operators_digest: Some(operators.digest()),
+            endpoints: endpoints.end().offset,
+            endpoints_era: endpoints.end().era,
+            endpoints_digest: Some(endpoints.digest()),
             fresh: age.map(millis),
             moves: self.move_phases(),
             ..wire::Pulse::default()
@@ -209,43 +210,49 @@
         let from = sender.address;
         self.peers.record_heartbeat(self, from, members::heartbeat::Header::from(heartbeat));
         self.receive_digests(sender, &heartbeat.moves);
+        let operators = order::Position::new(heartbeat.operators_era, heartbeat.operators);
+        let endpoints = order::Position::new(heartbeat.endpoints_era, heartbeat.endpoints);
         if let Some(age) = heartbeat.fresh {
             let now = self.clock.now();
             let at = now.saturating_sub(time::Duration::from_millis(age));
-            self.facts.borrow_mut().confirm_current(now, heartbeat.endpoints, at);
+            self.facts.borrow_mut().confirm_current(now, endpoints, at);
         }
         // This host follows both topics in the store as well. If another host has newer records,
         // the store cannot be reached from here or answers late.
-        self.request_records(from, false, heartbeat.operators);
-        self.request_records(from, true, heartbeat.endpoints);
+        self.request_records(from, topics::Topic::Operators, operators, heartbeat.operators_digest);
+        self.request_records(from, topics::Topic::Endpoints, endpoints, heartbeat.endpoints_digest);
     }
 
     /// Requests records up to `end` from another host, if they are missing and were not requested
-    /// just now.
-    fn request_records(&self, from: net::SocketAddr, endpoints: bool, end: id::Offset) {
+    /// just now, or if the digests show that this host has others.
+    fn request_records(
+        self: &rc::Rc<Self>,
+        from: net::SocketAddr,
+        topic: topics::Topic,
+        end: order::Position,
+        digest: Option<u64>,
+    ) {
         let now = self.clock.now();
-        let first = self.facts.borrow_mut().records_mut(topic(endpoints)).fetch_from(now, end);
-        if let Some(first) = first {
-            let fetch = wire::Fetch { endpoints, from: first };
-            self.peers.send(self, from, wire::Body::Fetch(fetch));
-        }
+        let request = self.facts.borrow_mut().records_mut(topic).request(now, end, digest);
+        let first = match request {
+            None => return,
+            Some(records::Request::From(first)) => first,
+            Some(records::Request::Compare) => {
+                let (other, topic_name) = (from.to_string(), format!("{topic:?}"));
+                log::info!(target: "store", other = other.as_str(), topic = topic_name.as_str(); "records differ");
+                task::spawn_local(store::reload(self.clone(), topic));
+                order::Position::START
+            }
+        };
+        let fetch = wire::records::Fetch::new(topic, first);
+        self.peers.send(self, from, wire::Body::Fetch(fetch));
     }
 
     /// Handles the message `Fetch`: sends records to another host.
-    pub fn receive_fetch(&self, to: net::SocketAddr, fetch: &wire::Fetch) {
-        let records = {
-            let facts = self.facts.borrow();
-            let records = facts.records(topic(fetch.endpoints));
-            let age = records.current_at().map(|at| self.clock.now().saturating_sub(at));
-            wire::Records {
-                endpoints: fetch.endpoints,
-                records: records.since(fetch.from).into_iter().map(wire::Record::from).collect(),
-                end: records.end(),
-                age: age.map_or(u64::MAX, millis),
-                from: fetch.from,
-                root: None,
-            }
-        };
+    pub fn receive_fetch(&self, to: net::SocketAddr, fetch: &wire::records::Fetch) {
+        let topic = wire::records::topic(fetch.endpoints);
+        let (facts, now) = (self.facts.borrow(), self.clock.now());
+        let records = wire::records::Records::since(&facts, now, topic, fetch.from());
         self.peers.send(self, to, wire::Body::Records(records));
     }
 
@@ -254,21 +261,20 @@
     pub fn announce_records(&self, reader: bool) {
         let changes = {
             let mut facts = self.facts.borrow_mut();
-            let (from, end) = (facts.announced, facts.records(topics::Topic::Endpoints).end());
-            facts.announced = end;
+            let end = facts.records(topics::Topic::Endpoints).end();
+            let from = std::mem::replace(&mut facts.announced, end);
             if !reader {
                 return;
             }
-            let records = facts.changed_since(from).into_iter().map(wire::Record::from).collect();
-            let root = Some(self.settings.peer.to_string());
-            wire::Records { endpoints: true, records, end, age: 0, from, root }
+            let root = self.settings.peer.to_string();
+            wire::records::Records::announcement(&facts, from, root)
         };
         self.relay(self.settings.peer, &changes);
     }
 
     /// Sends records that the reader `root` announces to this host's children in the broadcast tree
     /// of `root`.
-    fn relay(&self, root: net::SocketAddr, records: &wire::Records) {
+    fn relay(&self, root: net::SocketAddr, records: &wire::records::Records) {
         for other in self.peers.members().children(root) {
             self.metrics.records_told.inc_by(records.records.len() as u64);
             self.peers.send(self, other, wire::Body::Records(records.clone()));
@@ -278,7 +284,7 @@
     /// Forwards records that a reader announces, unless they were read less than
     /// [`MIN_RELAY_INTERVAL`] after the last ones that were forwarded. Hosts that disagree about
     /// which hosts are reachable may otherwise forward the same records in a circle.
-    fn forward(&self, records: &wire::Records) {
+    fn forward(&self, records: &wire::records::Records) {
         let Some(root) = records.root.as_ref().and_then(|root| root.parse().ok()) else { return };
         let at = self.clock.now().saturating_sub(time::Duration::from_millis(records.age));
         let mut relayed_at = self.relayed_at.borrow_mut();
@@ -293,20 +299,17 @@
 
     /// Handles the message `Records`: applies records of another host, and forwards those of a
     /// reader.
-    pub fn receive_records(self: &rc::Rc<Self>, from: net::SocketAddr, records: wire::Records) {
-        let now = self.clock.now();
-        let topic = topic(records.endpoints);
+    pub fn receive_records(
+        self: &rc::Rc<Self>,
+        from: net::SocketAddr,
+        records: wire::records::Records,
+    ) {
+        let topic = wire::records::topic(records.endpoints);
         self.forward(&records);
-        if records.from > self.facts.borrow().records(topic).end() {
-            return self.request_records(from, records.endpoints, records.end);
+        if records.leaves_gap(self.facts.borrow().records(topic).end()) {
+            return self.request_records(from, topic, records.end(), None);
         }
-        let at = now.saturating_sub(time::Duration::from_millis(records.age));
-        let page = topics::Page {
-            records: records.records.into_iter().map(topics::Record::from).collect(),
-            end: records.end,
-            next_after: None,
-        };
-        self.apply_records(topic, page, false, at);
+        self.apply_records(topic, records.into_update(self.clock.now()));
     }
 
     /// Requests per second that this host may send to an endpoint of a service; `None` if there is
@@ -323,14 +326,6 @@
     }
 }
 
-/// The topic that a message is about.
-fn topic(endpoints: bool) -> topics::Topic {
-    match endpoints {
-        true => topics::Topic::Endpoints,
-        false => topics::Topic::Operators,
-    }
-}
-
 /// Converts a duration to whole milliseconds.
 pub fn millis(time: time::Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
@@ -400,7 +395,7 @@
         host.pool.close_expired();
         host.facts.borrow_mut().fleet.notices.expire(host.clock.now());
         host.grants.expire(host.clock.now());
-        let removed = host.facts.borrow_mut().expire(host.clock.now());
+        let removed = host.facts.borrow_mut().expire();
         if removed {
             host.batcher.update(&host);
         }
--- a/sequoiacrank-edge/src/moves.rs
+++ b/sequoiacrank-edge/src/moves.rs
@@ -135,13 +135,13 @@
         return Ok(());
     }
     let value = operator::encode_status(target, state)?;
-    let request = topics::append(topics::Topic::Status, &key, &value, Some(page.end));
+    let request = topics::append(topics::Topic::Status, &key, &value, Some(page.end.offset));
     let answer = host
         .pool
         .call_as(account::Class::Control, host.settings.store, request, store::CALL_TIMEOUT)
         .await?;
     let (status, state_name) = (answer.status.as_u16(), format!("{state:?}"));
-    log::info!(target: "moves", service, version = target, state = state_name.as_str(), at = page.end, status; "status written");
+    log::info!(target: "moves", service, version = target, state = state_name.as_str(), at = page.end.offset, status; "status written");
     if answer.status == http::StatusCode::OK {
         host.facts.borrow_mut().moves.apply_stored(service, target, state);
     }
--- a/sequoiacrank-edge/src/peer/wire/mod.rs
+++ b/sequoiacrank-edge/src/peer/wire/mod.rs
@@ -3,20 +3,18 @@
 pub mod duties;
 pub mod limits;
 pub mod moves;
+pub mod records;
 pub mod statement;
 
 use std::time;
 
 use bytes::Buf as _;
 use bytes::BufMut as _;
-use bytes::Bytes;
 use bytes::BytesMut;
 use prost::Message as _;
 use quick_error::quick_error;
-use sequoiacrank_adapter::store;
 use sequoiacrank_kernel::edge::members;
 use sequoiacrank_kernel::edge::members::shares;
-use sequoiacrank_kernel::edge::records;
 
 use crate::host;
 
@@ -68,10 +66,10 @@
     Pulse(Pulse),
     /// Asks for records of a topic.
     #[prost(message, tag = "3")]
-    Fetch(Fetch),
+    Fetch(records::Fetch),
     /// Records of a topic.
     #[prost(message, tag = "4")]
-    Records(Records),
+    Records(records::Records),
     /// Submits a job of stage work.
     #[prost(message, tag = "5")]
     Ask(Ask),
@@ -161,6 +159,18 @@
     /// Statements that the receiver may not know.
     #[prost(message, repeated, tag = "12")]
     pub statements: Vec<statement::Statement>,
+    /// Era of `operators`.
+    #[prost(uint64, tag = "13")]
+    pub operators_era: u64,
+    /// Era of `endpoints`.
+    #[prost(uint64, tag = "14")]
+    pub endpoints_era: u64,
+    /// Digest of the operators' records that the sender has.
+    #[prost(fixed64, optional, tag = "15")]
+    pub operators_digest: Option<u64>,
+    /// Digest of the endpoints' records that the sender has.
+    #[prost(fixed64, optional, tag = "16")]
+    pub endpoints_digest: Option<u64>,
 }
 
 /// What hosts publish about themselves.
@@ -183,55 +193,6 @@
     pub moves: Vec<moves::Move>,
 }
 
-/// Asks for records of a topic.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Fetch {
-    /// Whether it asks for the endpoints' records; otherwise for the operators'.
-    #[prost(bool, tag = "1")]
-    pub endpoints: bool,
-    /// Offset of the first record asked for.
-    #[prost(uint64, tag = "2")]
-    pub from: u64,
-}
-
-/// Records of a topic.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Records {
-    /// Whether these are the endpoints' records; otherwise the operators'.
-    #[prost(bool, tag = "1")]
-    pub endpoints: bool,
-    /// The newest record of each key.
-    #[prost(message, repeated, tag = "2")]
-    pub records: Vec<Record>,
-    /// Offset after the last record of the topic that the sender has.
-    #[prost(uint64, tag = "3")]
-    pub end: u64,
-    /// Milliseconds since these were the newest records in the store.
-    #[prost(uint64, tag = "4")]
-    pub age: u64,
-    /// Offset from which all relevant records up to `end` are included.
-    #[prost(uint64, tag = "5")]
-    pub from: u64,
-    /// Address of the reader that announces them to all hosts, which forward them; `None` in an
-    /// answer to [`Fetch`].
-    #[prost(string, optional, tag = "6")]
-    pub root: Option<String>,
-}
-
-/// One record of a topic.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Record {
-    /// Key of the record.
-    #[prost(string, tag = "1")]
-    pub key: String,
-    /// Value, or `None` if the key was deleted.
-    #[prost(bytes = "bytes", optional, tag = "2")]
-    pub value: Option<Bytes>,
-    /// Offset in the topic.
-    #[prost(uint64, tag = "3")]
-    pub offset: u64,
-}
-
 impl Pulse {
     /// Adds the header and the statements for one receiver.
     pub fn with_heartbeat(self, heartbeat: members::heartbeat::Heartbeat) -> Self {
@@ -271,18 +232,6 @@
     }
 }
 
-impl From<store::Record> for Record {
-    fn from(record: store::Record) -> Self {
-        Record { key: record.key, value: record.value, offset: record.offset }
-    }
-}
-
-impl From<Record> for store::Record {
-    fn from(wire: Record) -> Self {
-        records::Record { key: wire.key, value: wire.value, offset: wire.offset }
-    }
-}
-
 /// Submits a job of stage work. Times are in milliseconds from now.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Ask {
--- a/sequoiacrank-edge/src/peer/wire/moves.rs
+++ b/sequoiacrank-edge/src/peer/wire/moves.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use sequoiacrank_kernel::edge::moves;
+use sequoiacrank_kernel::edge::records::order;
 use sequoiacrank_kernel::message;
 
 /// What a host reports about the move of one service.
@@ -14,6 +15,12 @@
     /// Offset of the record that orders the move.
     #[prost(uint64, tag = "2")]
     pub offset: u64,
+    /// Era of that record.
+    #[prost(uint64, tag = "7")]
+    pub era: u64,
+    /// Version that is to get all requests.
+    #[prost(string, tag = "8")]
+    pub target: String,
     /// Milliseconds since the move was ordered.
     #[prost(uint64, tag = "3")]
     pub age: u64,
@@ -102,7 +109,9 @@
             log_squares: it.log_squares,
         };
         Move {
-            offset: digest.offset,
+            offset: digest.position.offset,
+            era: digest.position.era,
+            target: digest.target,
             age: digest.age.as_millis() as u64,
             phase: Phase::from(digest.phase).into(),
             old: digest.old_calls,
@@ -125,7 +134,8 @@
         };
         moves::Digest {
             service: wire.service.clone(),
-            offset: wire.offset,
+            position: order::Position::new(wire.era, wire.offset),
+            target: wire.target.clone(),
             age: time::Duration::from_millis(wire.age),
             phase: wire.phase().into(),
             old_calls: wire.old,
--- a/sequoiacrank-edge/src/store.rs
+++ b/sequoiacrank-edge/src/store.rs
@@ -11,9 +11,11 @@
 use sequoiacrank_adapter::operator;
 use sequoiacrank_adapter::store;
 use sequoiacrank_kernel::edge::memory as account;
+use sequoiacrank_kernel::edge::records;
 use sequoiacrank_kernel::id;
 
 use crate::client;
+use crate::facts;
 use crate::host;
 
 /// Number of hosts that are readers. The first one reads the endpoints' records for all; the next
@@ -73,6 +75,10 @@
             display("{error}")
             source(error)
         }
+        /// The store came back from a copy while the pages of a topic were read.
+        Restored {
+            display("the store was restored meanwhile")
+        }
         /// A record cannot be encoded.
         Record(error: operator::Error) {
             from()
@@ -88,7 +94,7 @@
 ///
 /// When the store does not answer in time, or its answer cannot be used.
 pub async fn newest(host: &rc::Rc<host::Host>, topic: store::Topic) -> Result<store::Page, Error> {
-    let mut all = store::Page::default();
+    let mut all: Option<store::Page> = None;
     let mut after = None;
     loop {
         let request = store::newest(topic, after.as_deref());
@@ -96,14 +102,21 @@
             .pool
             .call_as(account::Class::Control, host.settings.store, request, CALL_TIMEOUT)
             .await?;
-        let page = store::newest_page(answer.status, &answer.body)?;
+        let era = store::era(&answer.headers);
+        let page = store::newest_page(era, answer.status, &answer.body)?;
+        after = page.next_after.clone();
         // The pages are not a snapshot. Records that change meanwhile are read again, from the end
         // of the first page on.
-        all.end = if after.is_none() { page.end } else { all.end };
-        all.records.extend(page.records);
-        match page.next_after {
-            Some(key) => after = Some(key),
-            None => return Ok(all),
+        let all = match &mut all {
+            Some(all) if all.end.era != era => return Err(Error::Restored),
+            Some(all) => {
+                all.records.extend(page.records);
+                all
+            }
+            None => all.insert(page),
+        };
+        if after.is_none() {
+            return Ok(std::mem::take(all));
         }
     }
 }
@@ -116,24 +129,53 @@
     wait: time::Duration,
 ) -> Result<(), Error> {
     let from = host.facts.borrow().records(topic).end();
-    let request = store::read(topic, from, wait);
+    let request = store::read(topic, from.offset, wait);
     let answer = host
         .pool
         .call_as(account::Class::Control, host.settings.store, request, wait + HOLD_MARGIN)
         .await?;
     let at = host.clock.now();
-    match store::read_page(answer.status, answer.body, from)? {
-        store::Read::Page(page) => host.apply_records(topic, page, false, at),
+    let era = store::era(&answer.headers);
+    match store::read_page(era, answer.status, answer.body, from)? {
+        store::Read::Page(page) => apply(host, topic, page, records::Scope::Since, at),
         store::Read::Gone => {
-            let page = newest(host, topic).await?;
-            let (topic_name, era) = (format!("{topic:?}"), store::era(&answer.headers));
-            log::info!(target: "store", topic = topic_name.as_str(), era, from, end = page.end; "history gone");
-            host.apply_records(topic, page, true, at);
+            let (topic_name, from) = (format!("{topic:?}"), from.to_string());
+            log::info!(target: "store", topic = topic_name.as_str(), era, from = from.as_str(); "history gone");
+            read_all(host, topic).await?;
         }
     }
     Ok(())
 }
 
+/// Reads the newest record of each key of a topic that this host follows.
+async fn read_all(host: &rc::Rc<host::Host>, topic: store::Topic) -> Result<(), Error> {
+    let at = host.clock.now();
+    let page = newest(host, topic).await?;
+    apply(host, topic, page, records::Scope::Topic, at);
+    Ok(())
+}
+
+/// Applies a page of records that the store returned to a call at the time `at`.
+fn apply(
+    host: &rc::Rc<host::Host>,
+    topic: store::Topic,
+    page: store::Page,
+    scope: records::Scope,
+    at: id::Time,
+) {
+    let store::Page { records, end, .. } = page;
+    host.apply_records(topic, facts::Update { records, end, scope, at });
+}
+
+/// Reads all records of a topic, as another host has others.
+pub async fn reload(host: rc::Rc<host::Host>, topic: store::Topic) {
+    host.metrics.store_calls.inc();
+    if let Err(err) = read_all(&host, topic).await {
+        let (topic, err) = (format!("{topic:?}"), err.to_string());
+        log::info!(target: "store", topic = topic.as_str(), err = err.as_str(); "records not compared");
+    }
+}
+
 /// Whether this host is a reader.
 fn is_reader(host: &host::Host) -> bool {
     host.peers.members().store_position() < READERS
@@ -165,6 +207,12 @@
     }
 }
 
+/// Time until all records of a restored store are to be read again, if they are.
+fn time_to_settle(host: &host::Host, topic: store::Topic) -> Option<time::Duration> {
+    let at = host.facts.borrow().records(topic).settles_at()?;
+    Some(at.saturating_sub(host.clock.now()))
+}
+
 /// Records whether this host lacks access to the store, and tells other hosts if that changed.
 fn set_without_store(host: &rc::Rc<host::Host>, without_store: bool) {
     if host.without_store.replace(without_store) != without_store {
@@ -180,11 +228,13 @@
     loop {
         let start = host.clock.now();
         let result = match topic {
-            _ if !loaded => {
-                newest(&host, topic).await.map(|page| host.apply_records(topic, page, true, start))
-            }
+            _ if !loaded => read_all(&host, topic).await,
             store::Topic::Operators => {
-                read(&host, topic, if is_reader(&host) { HOLD } else { LONG_HOLD }).await
+                let hold = if is_reader(&host) { HOLD } else { LONG_HOLD };
+                match time_to_settle(&host, topic) {
+                    Some(left) if left.is_zero() => read_all(&host, topic).await,
+                    left => read(&host, topic, left.map_or(hold, |left| left.min(hold))).await,
+                }
             }
             _ => read(&host, topic, time::Duration::ZERO).await,
         };
@@ -228,18 +278,21 @@
 /// none, as the seeds in the settings may be out of date.
 pub async fn discover_hosts(host: rc::Rc<host::Host>) {
     let own = host.settings.peer.to_string();
-    let mut listed = false;
+    // Era of the store in which the address was written. A restored store may have lost it.
+    let mut listed = None;
     loop {
         host.peers.wait_settled(&host).await;
         let alone = host.peers.members().alive().is_empty();
-        if !listed && (alone || host.peers.members().store_position() < LISTED_HOSTS) {
+        let era = host.facts.borrow().records(store::Topic::Operators).end().era;
+        if listed != Some(era) && (alone || host.peers.members().store_position() < LISTED_HOSTS) {
             let request =
                 store::append(store::Topic::Hosts, &host.settings.host, own.as_bytes(), None);
             let answer = host
                 .pool
                 .call_as(account::Class::Control, host.settings.store, request, CALL_TIMEOUT)
                 .await;
-            listed = answer.is_ok_and(|answer| answer.status == http::StatusCode::OK);
+            let is_done = answer.is_ok_and(|answer| answer.status == http::StatusCode::OK);
+            listed = is_done.then_some(era).or(listed);
         }
         if alone {
             find_hosts(&host).await;
--- a/sequoiacrank-kernel/src/edge/duty/lease.rs
+++ b/sequoiacrank-kernel/src/edge/duty/lease.rs
@@ -67,7 +67,8 @@
     Record(duty::Record),
 }
 
-/// Result of a read of the topic.
+/// Result of a read of the topic. Offsets are ordinals of positions, which grow across restores of
+/// the store, so that tokens do.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Reading {
     /// End of the topic.
@@ -144,6 +145,8 @@
     Taken(Option<String>),
     /// The platform has seen a higher token.
     Fenced,
+    /// The store came back from a copy, which may lack the record.
+    Restored,
 }
 
 /// A change of the lease on this host.
@@ -311,6 +314,14 @@
         std::mem::take(&mut self.events)
     }
 
+    /// Records that the store came back from a copy: what it has of the lease may be older than what
+    /// is known.
+    pub fn record_restored(&mut self) {
+        self.view = None;
+        self.pending = None;
+        self.lose(Loss::Restored);
+    }
+
     /// Decides what to do next.
     pub fn next(&mut self, now: id::Time, facts: &Facts) -> Action {
         if self.viewed().is_some_and(|it| facts.process == Some(it.process)) {
--- a/sequoiacrank-kernel/src/edge/endpoint.rs
+++ b/sequoiacrank-kernel/src/edge/endpoint.rs
@@ -35,6 +35,18 @@
         (&self.id, self.started_at)
     }
 
+    /// Hash of the registration, the same for those that are equal as told by
+    /// [`Self::is_equivalent`].
+    pub fn digest(&self) -> u64 {
+        let Endpoint { id, service, address, zone, version, slots, leaving, cold, started_at } =
+            self;
+        let parts =
+            [id, service, &address.to_string(), zone, version].map(String::as_str).join(" ");
+        let numbers = format!("{slots} {leaving} {} {started_at}", cold.is_zero());
+        let seed = xxhash_rust::xxh3::xxh3_64(numbers.as_bytes());
+        xxhash_rust::xxh3::xxh3_64_with_seed(parts.as_bytes(), seed)
+    }
+
     /// Whether both registrations are equal apart from the remaining cold time. A change between
     /// cold and warm counts as a difference; a change of the remaining time alone does not.
     pub fn is_equivalent(&self, other: &Endpoint) -> bool {
--- a/sequoiacrank-kernel/src/edge/moves.rs
+++ b/sequoiacrank-kernel/src/edge/moves.rs
@@ -9,6 +9,7 @@
 use std::time;
 
 use crate::edge::endpoint;
+use crate::edge::records::order;
 use crate::id;
 use crate::map;
 use crate::message;
@@ -46,8 +47,20 @@
     pub target: id::VersionId,
     /// Time within which the move must end.
     pub time: time::Duration,
-    /// Offset of its record, which distinguishes it from earlier orders.
-    pub offset: id::Offset,
+    /// Position of its record, which distinguishes it from earlier orders.
+    pub position: order::Position,
+}
+
+impl Order {
+    /// Whether an order at another position, for this target, is the same one. After a restore of
+    /// the store it is written again.
+    fn is_at(&self, position: order::Position, target: &str) -> bool {
+        match self.position.era == position.era {
+            false if !target.is_empty() => self.target == target,
+            // Hosts of earlier versions name neither an era nor a target.
+            _ => self.position.offset == position.offset,
+        }
+    }
 }
 
 /// Progress of a move. When hosts differ, the latest phase holds.
@@ -100,8 +113,10 @@
 pub struct Digest {
     /// Service.
     pub service: id::ServiceId,
-    /// Offset of the order's record.
-    pub offset: id::Offset,
+    /// Position of the order's record.
+    pub position: order::Position,
+    /// Target of the order.
+    pub target: id::VersionId,
     /// Time since the order.
     pub age: time::Duration,
     /// Progress of the move.
@@ -210,8 +225,17 @@
     ) {
         self.moves.retain(|service, _| orders.contains_key(service));
         for (service, order) in orders {
-            if self.moves.get(&service).is_some_and(|it| it.order == order) {
-                continue;
+            let is_known = |it: &Order| {
+                it.time == order.time
+                    && it.target == order.target
+                    && it.is_at(order.position, &order.target)
+            };
+            match self.moves.get_mut(&service) {
+                Some(known) if is_known(&known.order) => {
+                    known.order = order;
+                    continue;
+                }
+                _ => {}
             }
             let added = Move {
                 order,
@@ -288,7 +312,8 @@
     {
         let digests = self.moves.iter().map(|(service, it)| Digest {
             service: service.clone(),
-            offset: it.order.offset,
+            position: it.order.position,
+            target: it.order.target.clone(),
             age: now.saturating_sub(it.began),
             phase: it.phase,
             old_calls: old(service, &it.order.target),
@@ -301,7 +326,7 @@
     /// counts its calls from zero.
     pub fn merge(&mut self, now: id::Time, from: net::SocketAddr, process: &str, digest: &Digest) {
         let Some(it) = self.moves.get_mut(&digest.service) else { return };
-        if it.order.offset != digest.offset {
+        if !it.order.is_at(digest.position, &digest.target) {
             return;
         }
         it.began = it.began.min(now.saturating_sub(digest.age));
@@ -327,6 +352,11 @@
         self.advance(service, phase, "status in the store");
     }
 
+    /// Records that the store may have lost the statuses.
+    pub fn forget_stored(&mut self) {
+        self.moves.values_mut().for_each(|it| it.stored = None);
+    }
+
     /// Advances a move to a later phase; earlier ones are ignored.
     fn advance(&mut self, service: &str, phase: Phase, why: &str) {
         let Some(it) = self.moves.get_mut(service) else { return };
--- a/sequoiacrank-kernel/src/id.rs
+++ b/sequoiacrank-kernel/src/id.rs
@@ -42,6 +42,9 @@
 
 /// Number of an accepted configuration; 0 is the empty configuration.
 pub type Revision = u64;
+/// Number of a time span in which the store lost nothing: each restore from a copy begins the next
+/// one.
+pub type Era = u64;
 /// Position of a record in a stream of the platform's log.
 pub type Offset = u64;
 /// Number of an ownership period of a shard.
--- a/sequoiacrank-kernel/tests/edge/main.rs
+++ b/sequoiacrank-kernel/tests/edge/main.rs
@@ -11,6 +11,8 @@
 mod notices;
 mod overlay;
 mod parts;
+mod records;
+mod restore;
 mod scaling;
 mod sequence;
 mod site;
--- a/sequoiacrank-kernel/tests/edge/members.rs
+++ b/sequoiacrank-kernel/tests/edge/members.rs
@@ -6,9 +6,11 @@
 use sequoiacrank_kernel::edge::members;
 use sequoiacrank_kernel::edge::members::shares;
 use sequoiacrank_kernel::edge::members::statement;
-use sequoiacrank_kernel::edge::records;
+use sequoiacrank_kernel::edge::records::Request;
+use sequoiacrank_kernel::id;
 
 use crate::mesh;
+use crate::records;
 use crate::site;
 
 const HOSTS: u8 = 83;
@@ -228,34 +230,44 @@
     assert_eq!(host.work_candidates(site::ms(2300)).count(), 1);
 }
 
+type Records = sequoiacrank_kernel::edge::records::Records<u8>;
+
+/// Offset from which on to fetch records from a host that has those up to `end`.
+fn fetch_from(known: &mut Records, now: id::Time, end: u64) -> Option<u64> {
+    match known.request(now, records::position(end), None)? {
+        Request::From(from) => Some(from.offset),
+        Request::Compare => panic!("nothing to compare"),
+    }
+}
+
 /// When a large configuration comes into force, all other hosts announce it with each heartbeat.
 /// Copies fetched from hosts while the store was read as well filled all links for over a second.
 #[test]
 fn fetch_asks_one_host_at_a_time() {
-    let mut known: records::Records<u8> = records::Records::default();
-    known.merge(Vec::new(), 5, site::ms(0));
-    let fetches = |known: &mut records::Records<u8>, from: u64| {
+    let mut known = records::empty();
+    records::merge(&mut known, Vec::new(), 5, site::ms(0));
+    let fetches = |known: &mut Records, from: u64| {
         let heartbeats = (0..u64::from(HOSTS)).map(|host| site::ms(from + 4 * host));
-        heartbeats.filter_map(|now| known.fetch_from(now, 9)).collect::<Vec<_>>()
+        heartbeats.filter_map(|now| fetch_from(known, now, 9)).collect::<Vec<_>>()
     };
     // The store may still send them.
     assert_eq!(fetches(&mut known, 1000), []);
     assert_eq!(fetches(&mut known, 1400), [5]);
     // The first host did not answer.
     assert_eq!(fetches(&mut known, 1800), [5]);
-    known.merge(Vec::new(), 9, site::ms(2200));
+    records::merge(&mut known, Vec::new(), 9, site::ms(2200));
     assert_eq!(fetches(&mut known, 2201), []);
 }
 
 /// Records that the store sends soon are not fetched from other hosts as well.
 #[test]
 fn fetch_waits_for_store() {
-    let mut known: records::Records<u8> = records::Records::default();
+    let mut known = records::empty();
     for version in 1..20 {
         let now = site::ms(version * 1000);
-        assert_eq!(known.fetch_from(now, version), None);
-        known.merge(Vec::new(), version, now + site::ms(100));
-        assert_eq!(known.fetch_from(now + site::ms(400), version), None);
+        assert_eq!(fetch_from(&mut known, now, version), None);
+        records::merge(&mut known, Vec::new(), version, now + site::ms(100));
+        assert_eq!(fetch_from(&mut known, now + site::ms(400), version), None);
     }
 }
 
--- a/sequoiacrank-kernel/tests/edge/moves.rs
+++ b/sequoiacrank-kernel/tests/edge/moves.rs
@@ -9,6 +9,7 @@
 use sequoiacrank_kernel::policy;
 use sequoiacrank_kernel::rollout;
 
+use crate::records;
 use crate::site;
 
 const HOSTS: usize = 7;
@@ -57,7 +58,8 @@
 impl World {
     fn new(version: Version, seed: u64) -> Self {
         let mut hosts: Vec<_> = (0..HOSTS).map(|_| moves::Moves::default()).collect();
-        let order = moves::Order { target: "v2".into(), time: MOVE_TIME, offset: 3 };
+        let order =
+            moves::Order { target: "v2".into(), time: MOVE_TIME, position: records::position(3) };
         for host in &mut hosts {
             host.set_orders(
                 site::ms(0),
@@ -216,7 +218,8 @@
 #[test]
 fn no_requests_revert() {
     let mut host = moves::Moves::default();
-    let order = moves::Order { target: "v2".into(), time: MOVE_TIME, offset: 3 };
+    let order =
+        moves::Order { target: "v2".into(), time: MOVE_TIME, position: records::position(3) };
     host.set_orders(site::ms(0), [("desk".to_owned(), order)].into_iter().collect(), true);
     host.apply_stored("desk", "v2", moves::State::Active);
     host.tick(MOVE_TIME, &rollout::Sequential, true);
@@ -231,7 +234,8 @@
     world.run(time::Duration::from_secs(10));
     let digest = world.hosts[0].digests(site::ms(10_000), |_, _| 0).remove(0);
     let mut new = moves::Moves::default();
-    let order = moves::Order { target: "v2".into(), time: MOVE_TIME, offset: 3 };
+    let order =
+        moves::Order { target: "v2".into(), time: MOVE_TIME, position: records::position(3) };
     new.set_orders(site::ms(50), [("desk".to_owned(), order)].into_iter().collect(), false);
     let filter =
         |host: &moves::Moves| host.filter("desk", HOSTS, &BOUND, 0.0).expect("service has a move");
@@ -250,7 +254,8 @@
     let mut world = World::new(GOOD, 3);
     world.run(time::Duration::from_secs(25));
     let mut host = moves::Moves::default();
-    let order = moves::Order { target: "v2".into(), time: MOVE_TIME, offset: 3 };
+    let order =
+        moves::Order { target: "v2".into(), time: MOVE_TIME, position: records::position(3) };
     host.set_orders(site::ms(0), [("desk".to_owned(), order)].into_iter().collect(), true);
     host.apply_stored("desk", "v2", moves::State::Active);
     let mut digest = world.hosts[1].digests(site::ms(25_000), |_, _| 1).remove(0);
@@ -269,7 +274,8 @@
 /// process.
 #[test]
 fn restarts_within_bound() {
-    let order = moves::Order { target: "v2".into(), time: MOVE_TIME, offset: 3 };
+    let order =
+        moves::Order { target: "v2".into(), time: MOVE_TIME, position: records::position(3) };
     let (mut all, mut new) = (0, 0);
     for restart in 0..30 {
         let mut host = moves::Moves::default();
--- a/sequoiacrank-kernel/tests/edge/units.rs
+++ b/sequoiacrank-kernel/tests/edge/units.rs
@@ -1,4 +1,4 @@
-//! Tests of small components: batchers of zones, records of the store, paces, budgets, sessions.
+//! Tests of small components: batchers of zones, paces, budgets, sessions.
 
 use std::time;
 
@@ -6,7 +6,6 @@
 use sequoiacrank_kernel::edge::exit;
 use sequoiacrank_kernel::edge::members::shares;
 use sequoiacrank_kernel::edge::pace;
-use sequoiacrank_kernel::edge::records;
 use sequoiacrank_kernel::edge::session;
 use sequoiacrank_kernel::edge::stage::shard;
 
@@ -52,81 +51,6 @@
     }
 }
 
-fn record(key: &str, value: Option<u8>, offset: u64) -> records::Record<u8> {
-    records::Record { key: key.into(), value, offset }
-}
-
-/// Records arrive out of order. An older one must not replace a newer one.
-#[test]
-fn merge_keeps_newer_records() {
-    let mut all = records::Records::default();
-    let at = site::ms(100);
-    assert_eq!(all.merge(vec![record("a", Some(2), 5)], 6, at), ["a"]);
-    assert!(all.merge(vec![record("a", Some(1), 3)], 4, at).is_empty());
-    assert_eq!((all.get("a"), all.end()), (Some(&2), 6));
-    assert_eq!(all.merge(vec![record("a", None, 7)], 8, at), ["a"]);
-    assert_eq!(all.get("a"), None);
-    assert_eq!(all.since(7), vec![record("a", None, 7)]);
-}
-
-/// A key that is missing in the complete set has been deleted in the store.
-#[test]
-fn replace_deletes_missing_keys() {
-    let mut all = records::Records::default();
-    all.merge(vec![record("a", Some(1), 0), record("b", Some(1), 1)], 2, site::ms(1));
-    // "c" was written after the end of the complete set, and stays.
-    all.merge(vec![record("c", Some(1), 9)], 10, site::ms(2));
-    assert_eq!(all.replace(vec![record("b", Some(1), 1)], 5, site::ms(3)), ["a"]);
-    assert_eq!(all.iter().map(|(key, _)| key.as_str()).collect::<Vec<_>>(), ["b", "c"]);
-    assert_eq!(all.end(), 10);
-}
-
-/// Guards against a key that stays deleted for ever: it was marked as deleted at the offset of the
-/// next record, which was then dropped as known if it was one of that key.
-#[test]
-fn record_after_missing_key() {
-    for repeats in 1..4 {
-        let mut all = records::Records::default();
-        all.merge(vec![record("a", Some(1), 0), record("b", Some(1), 1)], 2, site::ms(1));
-        for end in 4..4 + repeats {
-            all.replace(vec![record("b", Some(1), 1)], end, site::ms(2));
-        }
-        let end = all.end();
-        let mut other = records::Records::default();
-        other.merge(all.since(0), end, site::ms(3));
-        for known in [&mut all, &mut other] {
-            assert_eq!(known.get("a"), None);
-            assert_eq!(known.merge(vec![record("a", Some(2), end)], end + 1, site::ms(4)), ["a"]);
-            assert_eq!(known.get("a"), Some(&2));
-        }
-    }
-}
-
-/// A mark of deletion of a process that puts it at the offset of the next record gives way to
-/// that record, whichever arrives first.
-#[test]
-fn mark_at_offset_of_record() {
-    let (mark, real) = (record("a", None, 4), record("a", Some(2), 4));
-    for (first, second) in [(&mark, &real), (&real, &mark)] {
-        let mut all = records::Records::default();
-        all.merge(vec![record("a", Some(1), 0)], 1, site::ms(1));
-        all.merge(vec![first.clone()], 5, site::ms(2));
-        all.merge(vec![second.clone()], 5, site::ms(3));
-        assert_eq!(all.get("a"), Some(&2));
-    }
-}
-
-/// A complete set that is older than known records does not delete them.
-#[test]
-fn older_complete_set() {
-    let mut all = records::Records::default();
-    all.merge(vec![record("a", Some(1), 0)], 1, site::ms(1));
-    all.merge(vec![record("a", None, 3)], 4, site::ms(2));
-    all.merge(vec![record("a", Some(2), 4)], 5, site::ms(3));
-    assert!(all.replace(vec![], 4, site::ms(4)).is_empty());
-    assert_eq!((all.get("a"), all.end()), (Some(&2), 5));
-}
-
 /// A process that is leaving takes only what ends before the process does.
 #[test]
 fn exit_bounds_deadlines() {
