Failing test: hosts without links to endpoints refuse what others could serve

Callers saw RECOVER: hosts that reached no endpoint served 9 of 207 requests at the first attempt. Evidence: hosts_without_links cuts two of three hosts off from all endpoints with a packet filter on the endpoints' side; the first one serves 0 of 4. New setting source, the address from which a host connects, so that a test can tell hosts apart; machines with several addresses need it as well.

--- a/sequoiacrank-config/src/edge.rs
+++ b/sequoiacrank-config/src/edge.rs
@@ -31,6 +31,8 @@
     pub seeds: Vec<net::SocketAddr>,
     /// Address of the platform's store.
     pub store: net::SocketAddr,
+    /// Address from which the host connects to endpoints; if not set, the system chooses it.
+    pub source: Option<net::IpAddr>,
     /// Share of a core that the process may use, in thousandths.
     pub cpu_share: u32,
     /// Time from SIGTERM to SIGKILL.
@@ -279,6 +281,7 @@
         let metrics = fields.required("metrics");
         let seeds = fields.with_default("seeds", Vec::new());
         let store = fields.required("store");
+        let source = fields.optional("source");
         let cpu_share = fields.with_default("cpu_share", 1.0);
         let grace = fields.required::<DecimalTime>("grace");
         let retries = fields.required("retries");
@@ -305,6 +308,7 @@
             metrics: metrics?,
             seeds: seeds?,
             store: store?,
+            source: source?,
             cpu_share: (cpu_share? * 1000.0) as u32,
             grace: grace?.0,
             retries: retries?,
--- a/sequoiacrank-config/src/read.rs
+++ b/sequoiacrank-config/src/read.rs
@@ -131,6 +131,14 @@
     }
 }
 
+impl Decode for net::IpAddr {
+    fn decode(node: &tree::Node, sink: &mut Sink) -> Option<Self> {
+        parse_string(node, sink, "an IP address such as \"10.0.0.1\"", |text| {
+            str::FromStr::from_str(text).ok()
+        })
+    }
+}
+
 impl<T> Decode for Located<T>
 where
     T: Decode,
--- a/sequoiacrank-edge/src/client.rs
+++ b/sequoiacrank-edge/src/client.rs
@@ -16,6 +16,7 @@
 use sequoiacrank_kernel::edge::notice;
 use sequoiacrank_kernel::id;
 use sequoiacrank_kernel::map;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::task;
 
@@ -114,6 +115,24 @@
     Ok(())
 }
 
+/// Connects to an address from a source address, if one is set.
+///
+/// # Errors
+///
+/// When the connection cannot be established.
+pub async fn connect_from(
+    source: Option<net::IpAddr>,
+    address: net::SocketAddr,
+) -> io::Result<TcpStream> {
+    let Some(source) = source else { return TcpStream::connect(address).await };
+    let socket = match address {
+        net::SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        net::SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(net::SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 /// Aborts a task when it is dropped.
 struct AbortOnDrop(task::JoinHandle<()>);
 
@@ -135,9 +154,12 @@
 }
 
 impl Connection {
-    async fn open(address: net::SocketAddr) -> Result<Connection, Error> {
+    async fn open(
+        source: Option<net::IpAddr>,
+        address: net::SocketAddr,
+    ) -> Result<Connection, Error> {
         let timeout = || io::Error::from(io::ErrorKind::TimedOut);
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect_from(source, address)).await;
         let stream = stream.map_err(|_| Error::Connect(timeout()))?.map_err(Error::Connect)?;
         configure_socket(&stream).map_err(Error::Connect)?;
         let (sender, connection) = http1::Builder::new()
@@ -198,6 +220,8 @@
 
 /// A pool of idle connections.
 pub struct Pool {
+    /// Address from which connections are opened; `None` if the system chooses it.
+    source: Option<net::IpAddr>,
     clock: clock::Clock,
     memory: rc::Rc<memory::Memory>,
     idle: cell::RefCell<map::FastMap<net::SocketAddr, Vec<Idle>>>,
@@ -221,9 +245,13 @@
 }
 
 impl Pool {
-    /// An empty pool; the answers to its calls take part of `memory`.
-    pub fn new(clock: clock::Clock, memory: rc::Rc<memory::Memory>) -> Self {
-        Pool { clock, memory, idle: cell::RefCell::default(), opened: cell::Cell::new(0) }
+    /// An empty pool, which connects from `source`; the answers to its calls take part of `memory`.
+    pub fn new(
+        clock: clock::Clock,
+        memory: rc::Rc<memory::Memory>,
+        source: Option<net::IpAddr>,
+    ) -> Self {
+        Pool { source, clock, memory, idle: cell::RefCell::default(), opened: cell::Cell::new(0) }
     }
 
     /// Opens a new connection.
@@ -233,7 +261,7 @@
     /// When the address can't be reached in time, or the HTTP handshake fails.
     pub async fn connect(&self, address: net::SocketAddr) -> Result<Connection, Error> {
         self.opened.set(self.opened.get() + 1);
-        Connection::open(address).await
+        Connection::open(self.source, address).await
     }
 
     /// Takes an idle connection, or opens a new one.
--- a/sequoiacrank-edge/src/exchange/suspect.rs
+++ b/sequoiacrank-edge/src/exchange/suspect.rs
@@ -6,9 +6,9 @@
 use std::time;
 
 use sequoiacrank_kernel::edge::crash;
-use tokio::net::TcpStream;
 use tokio::task;
 
+use crate::client;
 use crate::exchange;
 use crate::host;
 
@@ -35,12 +35,13 @@
 }
 
 /// Whether connections to an address are refused.
-async fn is_down(address: net::SocketAddr) -> bool {
+async fn is_down(source: Option<net::IpAddr>, address: net::SocketAddr) -> bool {
     for probe in 0..PROBES {
         if probe > 0 {
             tokio::time::sleep(PROBE_PAUSE).await;
         }
-        let result = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await;
+        let connect = client::connect_from(source, address);
+        let result = tokio::time::timeout(PROBE_TIMEOUT, connect).await;
         if let Ok(Err(err)) = result
             && err.kind() == io::ErrorKind::ConnectionRefused
         {
@@ -80,7 +81,7 @@
         let Some(address) = address else { return };
         let (host, endpoint) = (self.host.clone(), endpoint.to_owned());
         task::spawn_local(async move {
-            if is_down(address).await {
+            if is_down(host.settings.source, address).await {
                 record_down(&host, &endpoint);
             }
         });
@@ -96,7 +97,7 @@
             entry.map(|it| it.address)
         };
         match address {
-            Some(address) => is_down(address).await,
+            Some(address) => is_down(self.host.settings.source, address).await,
             None => false,
         }
     }
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -135,7 +135,7 @@
         Host {
             clock,
             process,
-            pool: client::Pool::new(clock, memory.clone()),
+            pool: client::Pool::new(clock, memory.clone(), settings.source),
             memory,
             facts: cell::RefCell::new(facts::Facts::with_seed(rand::random())),
             limits: watch::Sender::new(front::DEFAULT_LIMITS),
