Connections over another host when the own links to endpoints are lost

Cause: a host sent on connections of its own alone, and nothing told it that its links were lost rather than the endpoints. A refused connection counted as a crash of the endpoint on all hosts. An endpoint counts as down only if a host says so whose links are proven. All short histories of two and three hosts find a way where one exists.

--- a/sequoiacrank-edge/examples/usage_size.rs
+++ b/sequoiacrank-edge/examples/usage_size.rs
@@ -9,7 +9,7 @@
 use prost::Message as _;
 
 /// Helpers that the messages use.
-mod host {
+mod clock {
     use std::time;
 
     pub fn millis(time: time::Duration) -> u64 {
--- a/sequoiacrank-edge/src/client.rs
+++ b/sequoiacrank-edge/src/client.rs
@@ -21,6 +21,7 @@
 use tokio::task;
 
 use crate::clock;
+use crate::dial;
 use crate::memory;
 use crate::memory::blocks;
 
@@ -151,17 +152,13 @@
     used: bool,
     /// Whether another request was sent on it before the last one.
     kept: bool,
+    /// Whether another host relays it.
+    relayed: bool,
 }
 
 impl Connection {
-    async fn open(
-        source: Option<net::IpAddr>,
-        address: net::SocketAddr,
-    ) -> Result<Connection, Error> {
-        let timeout = || io::Error::from(io::ErrorKind::TimedOut);
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect_from(source, address)).await;
-        let stream = stream.map_err(|_| Error::Connect(timeout()))?.map_err(Error::Connect)?;
-        configure_socket(&stream).map_err(Error::Connect)?;
+    async fn start(address: net::SocketAddr, stream: dial::Stream) -> Result<Connection, Error> {
+        let relayed = matches!(stream, dial::Stream::Relayed(_));
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(rt::TokioIo::new(stream))
@@ -170,7 +167,8 @@
             // `send` returns the error.
             let _ = connection.await;
         });
-        Ok(Connection { address, sender, _task: AbortOnDrop(task), used: false, kept: false })
+        let task = AbortOnDrop(task);
+        Ok(Connection { address, sender, _task: task, used: false, kept: false, relayed })
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -220,8 +218,8 @@
 
 /// A pool of idle connections.
 pub struct Pool {
-    /// Address from which connections are opened; `None` if the system chooses it.
-    source: Option<net::IpAddr>,
+    /// Opens the connections.
+    pub dialer: rc::Rc<dial::Dialer>,
     clock: clock::Clock,
     memory: rc::Rc<memory::Memory>,
     idle: cell::RefCell<map::FastMap<net::SocketAddr, Vec<Idle>>>,
@@ -245,23 +243,36 @@
 }
 
 impl Pool {
-    /// An empty pool, which connects from `source`; the answers to its calls take part of `memory`.
+    /// An empty pool; the answers to its calls take part of `memory`.
     pub fn new(
         clock: clock::Clock,
         memory: rc::Rc<memory::Memory>,
-        source: Option<net::IpAddr>,
+        dialer: rc::Rc<dial::Dialer>,
     ) -> Self {
-        Pool { source, clock, memory, idle: cell::RefCell::default(), opened: cell::Cell::new(0) }
+        let (idle, opened) = (cell::RefCell::default(), cell::Cell::new(0));
+        Pool { dialer, clock, memory, idle, opened }
     }
 
-    /// Opens a new connection.
+    /// Opens a new connection to an endpoint.
     ///
     /// # Errors
     ///
     /// When the address can't be reached in time, or the HTTP handshake fails.
     pub async fn connect(&self, address: net::SocketAddr) -> Result<Connection, Error> {
         self.opened.set(self.opened.get() + 1);
-        Connection::open(self.source, address).await
+        let stream = self.dialer.connect(address, CONNECT_TIMEOUT).await.map_err(Error::Connect)?;
+        Connection::start(address, stream).await
+    }
+
+    /// Opens a new connection to another server than an endpoint.
+    ///
+    /// # Errors
+    ///
+    /// As for [`Pool::connect`].
+    pub async fn connect_direct(&self, address: net::SocketAddr) -> Result<Connection, Error> {
+        self.opened.set(self.opened.get() + 1);
+        let stream = self.dialer.connect_direct(address, CONNECT_TIMEOUT).await;
+        Connection::start(address, stream.map_err(Error::Connect)?).await
     }
 
     /// Takes an idle connection, or opens a new one.
@@ -270,12 +281,29 @@
     ///
     /// As for [`Pool::connect`].
     pub async fn get(&self, address: net::SocketAddr) -> Result<Connection, Error> {
-        match self.take_idle(address) {
+        // Connections from before the links were lost may hang.
+        let idle = self.take_idle(address).filter(|_| !self.dialer.is_cut_off());
+        match idle {
             Some(connection) => Ok(connection),
             None => self.connect(address).await,
         }
     }
 
+    /// Takes an idle connection for answers of `class`, or opens a new one.
+    async fn get_as(
+        &self,
+        class: account::Class,
+        address: net::SocketAddr,
+    ) -> Result<Connection, Error> {
+        match class {
+            account::Class::Control => match self.take_idle(address) {
+                Some(connection) => Ok(connection),
+                None => self.connect_direct(address).await,
+            },
+            _ => self.get(address).await,
+        }
+    }
+
     fn take_idle(&self, address: net::SocketAddr) -> Option<Connection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
@@ -289,8 +317,12 @@
     }
 
     /// Puts back a connection whose last answer was read completely. The server closes it when it
-    /// is idle for `keep_alive`.
+    /// is idle for `keep_alive`. Relayed ones are closed, so that they do not keep the relay from
+    /// stopping.
     pub fn put(&self, connection: Connection, keep_alive: time::Duration) {
+        if connection.relayed {
+            return;
+        }
         let until = self.clock.now() + keep_alive / REUSE_DIVISOR;
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(connection.address).or_default();
@@ -344,10 +376,13 @@
     ) -> Result<Answer, Error> {
         let request = request.map(blocks::Blocks::from);
         let call = async {
-            let mut connection = self.get(address).await?;
+            let mut connection = self.get_as(class, address).await?;
             let answer = match connection.send(request.clone()).await {
                 Err(Error::Connect(_)) if connection.is_used() => {
-                    connection = self.connect(address).await?;
+                    connection = match class {
+                        account::Class::Control => self.connect_direct(address).await?,
+                        _ => self.connect(address).await?,
+                    };
                     connection.send(request).await?
                 }
                 other => other?,
--- a/sequoiacrank-edge/src/clock.rs
+++ b/sequoiacrank-edge/src/clock.rs
@@ -32,3 +32,8 @@
         self.start.elapsed()
     }
 }
+
+/// Converts a duration to whole milliseconds.
+pub fn millis(time: time::Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
--- a/sequoiacrank-edge/src/duties/api.rs
+++ b/sequoiacrank-edge/src/duties/api.rs
@@ -193,7 +193,7 @@
 {
     let api = &host.duties.api;
     // Answers do not name their request, so each call has a connection of its own.
-    let mut connection = host.pool.connect(settings.address).await.map_err(Error::Unsent)?;
+    let mut connection = host.pool.connect_direct(settings.address).await.map_err(Error::Unsent)?;
     let _in_flight = api.begin();
     *token = host.duties.token();
     if *token == 0 {
--- a/sequoiacrank-edge/src/exchange/suspect.rs
+++ b/sequoiacrank-edge/src/exchange/suspect.rs
@@ -8,7 +8,7 @@
 use sequoiacrank_kernel::edge::crash;
 use tokio::task;
 
-use crate::client;
+use crate::dial;
 use crate::exchange;
 use crate::host;
 
@@ -34,18 +34,15 @@
     true
 }
 
-/// Whether connections to an address are refused.
-async fn is_down(source: Option<net::IpAddr>, address: net::SocketAddr) -> bool {
+/// Whether connections to the address of an endpoint are refused.
+async fn is_down(dialer: &dial::Dialer, address: net::SocketAddr) -> bool {
     for probe in 0..PROBES {
         if probe > 0 {
             tokio::time::sleep(PROBE_PAUSE).await;
         }
-        let connect = client::connect_from(source, address);
-        let result = tokio::time::timeout(PROBE_TIMEOUT, connect).await;
-        if let Ok(Err(err)) = result
-            && err.kind() == io::ErrorKind::ConnectionRefused
-        {
-            return true;
+        match dialer.connect(address, PROBE_TIMEOUT).await {
+            Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => return true,
+            _ => {}
         }
     }
     false
@@ -81,7 +78,7 @@
         let Some(address) = address else { return };
         let (host, endpoint) = (self.host.clone(), endpoint.to_owned());
         task::spawn_local(async move {
-            if is_down(host.settings.source, address).await {
+            if is_down(&host.pool.dialer, address).await {
                 record_down(&host, &endpoint);
             }
         });
@@ -97,7 +94,7 @@
             entry.map(|it| it.address)
         };
         match address {
-            Some(address) => is_down(self.host.settings.source, address).await,
+            Some(address) => is_down(&self.host.pool.dialer, address).await,
             None => false,
         }
     }
--- a/sequoiacrank-edge/src/host.rs
+++ b/sequoiacrank-edge/src/host.rs
@@ -25,6 +25,7 @@
 use crate::batcher;
 use crate::client;
 use crate::clock;
+use crate::dial;
 use crate::duties;
 use crate::facts;
 use crate::front;
@@ -37,6 +38,8 @@
 use crate::stop;
 use crate::store;
 
+pub use crate::clock::millis;
+
 /// Time between two reads of the settings, which may change without a signal.
 const RELOAD_INTERVAL: time::Duration = time::Duration::from_secs(5);
 /// Maximum number of requests per second from one host to one warm endpoint. If each of many hosts
@@ -126,6 +129,7 @@
         let clock = clock::Clock::new();
         let process = rand::random();
         let memory = memory::Memory::new(clock, &settings);
+        let dialer = dial::Dialer::new(clock, settings.source, (settings.peer, process));
         let own = statement::Statement::first(
             settings.peer,
             process,
@@ -135,7 +139,7 @@
         Host {
             clock,
             process,
-            pool: client::Pool::new(clock, memory.clone(), settings.source),
+            pool: client::Pool::new(clock, memory.clone(), rc::Rc::new(dialer)),
             memory,
             facts: cell::RefCell::new(facts::Facts::with_seed(rand::random())),
             limits: watch::Sender::new(front::DEFAULT_LIMITS),
@@ -326,11 +330,6 @@
     }
 }
 
-/// Converts a duration to whole milliseconds.
-pub fn millis(time: time::Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Listens on an address; `what` names it in the error.
 async fn listen(what: &'static str, address: net::SocketAddr) -> Result<TcpListener, Error> {
     TcpListener::bind(address).await.map_err(|err| Error::Io(what, err))
@@ -349,6 +348,7 @@
     let host = rc::Rc::new(Host::new(settings, source));
     let zone = host.settings.zone.as_str();
     log::info!(target: "process", zone, version = env!("CARGO_PKG_VERSION"); "started");
+    task::spawn_local(dial::probe(host.pool.dialer.clone()));
     task::spawn_local(front::callers(host.clone(), callers));
     task::spawn_local(front::readiness(host.clone(), readiness));
     task::spawn_local(front::metrics(host.clone(), metrics));
--- a/sequoiacrank-edge/src/memory/mod.rs
+++ b/sequoiacrank-edge/src/memory/mod.rs
@@ -40,6 +40,8 @@
     pub metrics: listener::Listener,
     /// Connections of other hosts.
     pub hosts: listener::Listener,
+    /// Connections that are relayed for other hosts.
+    pub relayed: listener::Listener,
 }
 
 impl Memory {
@@ -57,6 +59,7 @@
             readiness: listener::Listener::default(),
             metrics: listener::Listener::default(),
             hosts: listener::Listener::default(),
+            relayed: listener::Listener::default(),
         })
     }
 
--- a/sequoiacrank-edge/src/metrics.rs
+++ b/sequoiacrank-edge/src/metrics.rs
@@ -38,6 +38,8 @@
     pub store_calls: prometheus::IntCounter,
     /// Number of the store's records sent to other hosts, counted once for each receiver.
     pub records_told: prometheus::IntCounter,
+    /// Number of connections to endpoints that were relayed for other hosts.
+    pub relayed: prometheus::IntCounter,
     /// Calls to the platform's API, by call and outcome.
     pub duty_calls: prometheus::IntCounterVec,
     duty_held: prometheus::IntGauge,
@@ -119,6 +121,10 @@
                 counter("stage_pieces_total", "Pieces in calls to stage endpoints"),
             ),
             store_calls: register(&registry, counter("store_calls_total", "Calls to the store")),
+            relayed: register(
+                &registry,
+                counter("relayed_total", "Connections to endpoints relayed for other hosts"),
+            ),
             records_told: register(
                 &registry,
                 counter("records_told_total", "Records of the store told to other hosts"),
--- a/sequoiacrank-edge/src/peer/mod.rs
+++ b/sequoiacrank-edge/src/peer/mod.rs
@@ -124,6 +124,7 @@
             statement::State {
                 leaving: host.stop.is_leaving(),
                 without_store: host.without_store.get(),
+                without_links: host.pool.dialer.is_cut_off(),
                 crashes: facts.crashes.report(now),
                 parts: facts.crashes.parts.report(now),
                 duty: host.duties.token(),
@@ -131,6 +132,7 @@
         };
         self.members.borrow_mut().set_state(state);
         let round = self.members.borrow_mut().next_round(now);
+        host.pool.dialer.set_relays(self.members.borrow().relays());
         for address in round.forgotten {
             log::info!(target: "hosts", other = address.to_string().as_str(); "forgotten");
         }
@@ -328,6 +330,7 @@
         Some(wire::Body::Usage(usage)) => duties::receive_usage(host, sender, &usage),
         Some(wire::Body::Timing(timing)) => duties::receive_timing(host, sender, &timing),
         Some(wire::Body::Unknown(ticket)) => host.pending_jobs.receive_unknown(ticket.ticket),
-        Some(wire::Body::Statements(_)) | None => {}
+        // Handled before: the connection is not one for messages any more.
+        Some(wire::Body::Relay(_)) | Some(wire::Body::Statements(_)) | None => {}
     }
 }
--- a/sequoiacrank-edge/src/peer/reader.rs
+++ b/sequoiacrank-edge/src/peer/reader.rs
@@ -7,6 +7,7 @@
 
 use bytes::BytesMut;
 use quick_error::quick_error;
+use sequoiacrank_kernel::edge::endpoint;
 use sequoiacrank_kernel::edge::memory as account;
 use sequoiacrank_kernel::id;
 use tokio::io::AsyncReadExt as _;
@@ -21,6 +22,8 @@
 use crate::memory::pressure;
 use crate::peer;
 use crate::peer::wire;
+use crate::relay;
+use crate::stop;
 
 /// Pause after a connection could not be accepted.
 const ACCEPT_BACKOFF: time::Duration = time::Duration::from_millis(200);
@@ -87,16 +90,21 @@
 /// Reads a connection until it ends or has to make room, and records the end.
 async fn read(
     host: rc::Rc<host::Host>,
-    stream: TcpStream,
+    mut stream: TcpStream,
     connection: u64,
     place: listener::Place,
     usage: rc::Rc<Usage>,
 ) {
     let result = tokio::select! {
         biased;
-        result = read_frames(&host, stream, connection, &usage) => result,
-        () = place.closed() => Ok(()),
+        result = read_frames(&host, &mut stream, connection, &usage) => result,
+        () = place.closed() => Ok(None),
     };
+    if let Ok(Some(request)) = result {
+        drop(place);
+        relay_connection(&host, stream, request).await;
+        return;
+    }
     if let Err(err) = result {
         let level = match err {
             Error::Message(_) => log::Level::Warn,
@@ -164,21 +172,67 @@
     length.map_or(0, |length| length.saturating_sub(buffer.len()))
 }
 
-/// Handles messages until the connection ends. Keeps `usage` up to date.
+/// A request to relay the connection to an endpoint, and bytes that followed it.
+struct RelayRequest {
+    address: String,
+    first: BytesMut,
+}
+
+/// Relays a connection, if this host takes requests for others now.
+async fn relay_connection(host: &rc::Rc<host::Host>, stream: TcpStream, request: RelayRequest) {
+    let RelayRequest { address, first } = request;
+    let endpoint = address.parse().ok().filter(|&it| may_relay(host, it));
+    let busy: listener::IdleSince = Box::new(|| None);
+    let bound = relay::MAX_RELAYED;
+    let place =
+        endpoint.and_then(|_| listener::admit(&host.memory, |memory| &memory.relayed, bound, busy));
+    let (Some(endpoint), Some(_place)) = (endpoint, place) else {
+        log::info!(target: "hosts", address = address.as_str(); "relay declined");
+        return relay::decline(stream).await;
+    };
+    host.metrics.relayed.inc();
+    let _active = stop::Stop::begin_request(host);
+    tokio::select! {
+        result = relay::serve(stream, &host.pool.dialer, endpoint, first) => {
+            if let Err(err) = result {
+                let err = err.to_string();
+                log::info!(target: "hosts", address = address.as_str(), err = err.as_str(); "relay broken");
+            }
+        }
+        () = host.stop.reached(stop::Phase::Ending) => {}
+    }
+}
+
+/// Whether this host may connect to an address for another host: an endpoint is there that takes
+/// requests of this one.
+fn may_relay(host: &host::Host, address: net::SocketAddr) -> bool {
+    let (now, facts) = (host.clock.now(), host.facts.borrow());
+    let takes = |it: &endpoint::Endpoint| {
+        it.address == address && facts.fleet.notices.accepts(now, it.instance())
+    };
+    !host.stop.is_leaving()
+        && host.pool.dialer.may_relay(address)
+        && facts.fleet.usable().any(takes)
+}
+
+/// Handles messages until the connection ends, or is to be relayed. Keeps `usage` up to date.
 async fn read_frames(
     host: &rc::Rc<host::Host>,
-    mut stream: TcpStream,
+    stream: &mut TcpStream,
     connection: u64,
     usage: &Usage,
-) -> Result<(), Error> {
+) -> Result<Option<RelayRequest>, Error> {
     let lease = host.memory.lease(account::Class::Message);
     let mut buffer = Buffer { bytes: BytesMut::new(), held: 0, lease };
-    if let Err(err) = client::configure_socket(&stream) {
+    if let Err(err) = client::configure_socket(stream) {
         log::info!(target: "hosts", err = err.to_string().as_str(); "setting socket options failed");
-        return Ok(());
+        return Ok(None);
     }
     loop {
         if let Some(frame) = wire::decode(&mut buffer.bytes)? {
+            if let Some(wire::Body::Relay(wire::Relay { address })) = frame.body {
+                return Ok(Some(RelayRequest { address, first: buffer.bytes }));
+            }
             let from = frame.from.parse().ok();
             // Logs a sender whose address cannot be parsed.
             peer::receive(host, frame, connection);
@@ -199,7 +253,7 @@
         };
         // An error ends the connection like its regular end: the other host opens a new one.
         if !matches!(read, Ok(1..)) {
-            return Ok(());
+            return Ok(None);
         }
         usage.read.set(host.clock.now());
         buffer.lease.record_progress();
--- a/sequoiacrank-edge/src/peer/wire/duties.rs
+++ b/sequoiacrank-edge/src/peer/wire/duties.rs
@@ -4,7 +4,7 @@
 use sequoiacrank_kernel::edge::duty::usage;
 use sequoiacrank_kernel::id;
 
-use crate::host;
+use crate::clock;
 
 /// Report of a host to the holder of the duties. Counts are absolute, so that a report that is lost
 /// or repeated does no harm.
@@ -71,9 +71,9 @@
     fn from(report: usage::Report) -> Self {
         let windows = report.windows.into_iter();
         Usage {
-            steady: host::millis(report.reading.steady),
-            unix: host::millis(report.reading.unix),
-            until: report.until.map(host::millis).unwrap_or_default(),
+            steady: clock::millis(report.reading.steady),
+            unix: clock::millis(report.reading.unix),
+            until: report.until.map(clock::millis).unwrap_or_default(),
             windows: windows
                 .map(|(window, counts)| Window { window, counts: counts.into_iter().collect() })
                 .collect(),
--- a/sequoiacrank-edge/src/peer/wire/mod.rs
+++ b/sequoiacrank-edge/src/peer/wire/mod.rs
@@ -16,7 +16,7 @@
 use sequoiacrank_kernel::edge::members;
 use sequoiacrank_kernel::edge::members::shares;
 
-use crate::host;
+use crate::clock;
 
 quick_error! {
     /// Why a message of another host cannot be decoded.
@@ -53,7 +53,7 @@
     /// Content of the message.
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
     )]
     pub body: Option<Body>,
 }
@@ -118,6 +118,17 @@
     /// Answers [`Body::Usage`].
     #[prost(message, tag = "21")]
     Timing(duties::Timing),
+    /// Asks for a connection to an endpoint. What follows on the connection are its bytes.
+    #[prost(message, tag = "22")]
+    Relay(Relay),
+}
+
+/// Asks for a connection to an endpoint.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Relay {
+    /// Address of the endpoint.
+    #[prost(string, tag = "1")]
+    pub address: String,
 }
 
 /// Heartbeat of a host.
@@ -202,7 +213,7 @@
             heard: header.heard,
             chosen: header.chosen,
             known: header.known.hosts,
-            age: host::millis(header.known.age),
+            age: clock::millis(header.known.age),
             reached: header.reached,
             digest: header.digest,
             statements: encode_statements(heartbeat.statements),
--- a/sequoiacrank-edge/src/peer/wire/records.rs
+++ b/sequoiacrank-edge/src/peer/wire/records.rs
@@ -8,6 +8,7 @@
 use sequoiacrank_kernel::edge::records::order;
 use sequoiacrank_kernel::id;
 
+use crate::clock;
 use crate::facts;
 
 /// Asks for records of a topic.
@@ -159,7 +160,7 @@
             records: known.since(from).into_iter().map(Record::from).collect(),
             end,
             era,
-            age: age.map_or(u64::MAX, |age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            age: age.map_or(u64::MAX, clock::millis),
             from: from.offset,
             from_era: from.era,
             root: None,
--- a/sequoiacrank-edge/src/peer/wire/statement.rs
+++ b/sequoiacrank-edge/src/peer/wire/statement.rs
@@ -42,6 +42,9 @@
     /// Fencing token of the duties that the host holds; 0 if it holds none.
     #[prost(uint64, tag = "11")]
     pub duty: u64,
+    /// Whether the host does not reach endpoints that others reach.
+    #[prost(bool, tag = "12")]
+    pub unlinked: bool,
 }
 
 /// A part of a prompt on which endpoints crashed, or that was served.
@@ -107,6 +110,7 @@
             version: own.version,
             leaving: own.leaving,
             blind: own.without_store,
+            unlinked: own.without_links,
             cpu: own.cpu,
             hears: own.hears,
             crashes: own.crashes.into_iter().map(Crash::from).collect(),
@@ -127,6 +131,7 @@
             version: wire.version,
             leaving: wire.leaving,
             without_store: wire.blind,
+            without_links: wire.unlinked,
             cpu: wire.cpu,
             hears: wire.hears,
             crashes: wire.crashes.into_iter().map(crash::Report::from).collect(),
--- a/sequoiacrank-kernel/src/edge.rs
+++ b/sequoiacrank-kernel/src/edge.rs
@@ -8,6 +8,7 @@
 pub mod exit;
 pub mod fleet;
 pub mod limiter;
+pub mod links;
 pub mod members;
 pub mod memory;
 pub mod moves;
--- a/sequoiacrank-kernel/src/edge/members.rs
+++ b/sequoiacrank-kernel/src/edge/members.rs
@@ -25,6 +25,7 @@
 use std::net;
 use std::time;
 
+use crate::edge::links;
 use crate::id;
 use crate::map;
 
@@ -363,6 +364,15 @@
         })
     }
 
+    /// The other hosts that may relay connections to endpoints.
+    pub fn relays(&self) -> Vec<links::Relay> {
+        let relay = |it: &statement::Statement| links::Relay {
+            host: it.host,
+            without_links: it.without_links,
+        };
+        self.statements_alive().filter(|it| !it.leaving).map(relay).collect()
+    }
+
     /// The other hosts to which this one may submit work.
     pub fn work_candidates(&self, now: id::Time) -> impl Iterator<Item = Candidate> {
         let is_open = move |host: &net::SocketAddr| {
--- a/sequoiacrank-kernel/src/edge/members/statement.rs
+++ b/sequoiacrank-kernel/src/edge/members/statement.rs
@@ -28,6 +28,8 @@
     pub leaving: bool,
     /// Whether the host does not reach the store.
     pub without_store: bool,
+    /// Whether the host does not reach endpoints that others reach.
+    pub without_links: bool,
     /// Share of a core that the host may use, in thousandths.
     pub cpu: u32,
     /// Neighbours that the host hears.
@@ -47,6 +49,8 @@
     pub leaving: bool,
     /// Whether the host does not reach the store.
     pub without_store: bool,
+    /// Whether the host does not reach endpoints that others reach.
+    pub without_links: bool,
     /// Endpoints that crashed on its calls, by request.
     pub crashes: Vec<crash::Report>,
     /// Endpoints that crashed on its calls, by part of a prompt, and parts that it served.
@@ -58,10 +62,11 @@
 impl Statement {
     /// Replaces the state. Returns whether it has changed.
     pub fn set_state(&mut self, state: State) -> bool {
-        let State { leaving, without_store, crashes, parts, duty } = state;
+        let State { leaving, without_store, without_links, crashes, parts, duty } = state;
         let next = Statement {
             leaving,
             without_store,
+            without_links,
             crashes,
             parts,
             duty,
@@ -82,6 +87,7 @@
             version: 1,
             leaving: false,
             without_store: false,
+            without_links: false,
             cpu,
             hears: Vec::new(),
             crashes: Vec::new(),
--- a/sequoiacrank-kernel/tests/edge/main.rs
+++ b/sequoiacrank-kernel/tests/edge/main.rs
@@ -4,6 +4,7 @@
 mod duties;
 mod fleet;
 mod lease;
+mod links;
 mod members;
 mod memory;
 mod mesh;
