Hosts keep together to what a brittle endpoint can refuse

Replicas may fall over if they have to turn away more than a bound that they name; callers lose what ran there. Cause: nobody counted refusals of one endpoint over all hosts; a full one was asked again at once. Change: a refusal of a brittle endpoint is told to all hosts, which return one after the other and with a share of its slots (docs/design/notices.md). Relays are told what endpoints say in answers that they forwarded.

--- a/sequoiacrank-edge/src/batcher.rs
+++ b/sequoiacrank-edge/src/batcher.rs
@@ -356,7 +356,10 @@
         http::StatusCode::OK => {
             wire_stage::decode_outcomes(&answer.body).map_err(|err| lost(err.to_string()))
         }
-        http::StatusCode::SERVICE_UNAVAILABLE => Err(stage::Failure::Full),
+        http::StatusCode::SERVICE_UNAVAILABLE => {
+            notices::record_full(host, (endpoint, started_at));
+            Err(stage::Failure::Full)
+        }
         other => Err(lost(format!("status {other}"))),
     }
 }
--- a/sequoiacrank-edge/src/client.rs
+++ b/sequoiacrank-edge/src/client.rs
@@ -152,13 +152,13 @@
     used: bool,
     /// Whether another request was sent on it before the last one.
     kept: bool,
-    /// Whether another host relays it.
-    relayed: bool,
+    /// Host that relays it.
+    relay: Option<net::SocketAddr>,
 }
 
 impl Connection {
     async fn start(address: net::SocketAddr, stream: dial::Stream) -> Result<Connection, Error> {
-        let relayed = matches!(stream, dial::Stream::Relayed(_));
+        let relay = stream.relay();
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(rt::TokioIo::new(stream))
@@ -168,7 +168,7 @@
             let _ = connection.await;
         });
         let task = AbortOnDrop(task);
-        Ok(Connection { address, sender, _task: task, used: false, kept: false, relayed })
+        Ok(Connection { address, sender, _task: task, used: false, kept: false, relay })
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -195,6 +195,11 @@
         }
     }
 
+    /// Host that relays it, if any.
+    pub fn relay(&self) -> Option<net::SocketAddr> {
+        self.relay
+    }
+
     /// Whether a request has been sent on it.
     pub fn is_used(&self) -> bool {
         self.used
@@ -320,7 +325,7 @@
     /// is idle for `keep_alive`. Relayed ones are closed, so that they do not keep the relay from
     /// stopping.
     pub fn put(&self, connection: Connection, keep_alive: time::Duration) {
-        if connection.relayed {
+        if connection.relay.is_some() {
             return;
         }
         let until = self.clock.now() + keep_alive / REUSE_DIVISOR;
--- a/sequoiacrank-edge/src/dial.rs
+++ b/sequoiacrank-edge/src/dial.rs
@@ -37,6 +37,16 @@
     Relayed(relay::Relayed),
 }
 
+impl Stream {
+    /// Host that relays it, if any.
+    pub fn relay(&self) -> Option<net::SocketAddr> {
+        match self {
+            Stream::Direct(_) => None,
+            Stream::Relayed(stream) => Some(stream.relay),
+        }
+    }
+}
+
 /// The way of an attempt, and what came of it.
 type Outcome = (links::Way, Result<Stream, links::Failure>);
 
--- a/sequoiacrank-edge/src/exchange/answer.rs
+++ b/sequoiacrank-edge/src/exchange/answer.rs
@@ -32,6 +32,7 @@
         let status = head.status.as_u16();
         let took = host::millis(self.host.clock.now().saturating_sub(self.began));
         call.apply_notice(&decoded.notice, decoded.matches_request && !decoded.refused);
+        call.tell_relay(connection.relay(), &decoded.notice);
         match decoded {
             call::Answer { refused: true, misdirected, .. } => {
                 log::warn!(target: "request", id, endpoint, status, took; "endpoint refused");
--- a/sequoiacrank-edge/src/exchange/choice.rs
+++ b/sequoiacrank-edge/src/exchange/choice.rs
@@ -38,6 +38,7 @@
             rank: self.rank,
             unlimited,
             rate: service.and_then(|service| self.host.rate(service.cold_rate)),
+            hosts: self.host.peers.members().alive().len() + 1,
             versions: self.version_filter(&facts),
         };
         let now = self.host.clock.now();
--- a/sequoiacrank-edge/src/in_flight.rs
+++ b/sequoiacrank-edge/src/in_flight.rs
@@ -1,6 +1,7 @@
 //! Calls in flight to endpoints, and how their results are recorded.
 
 use std::cell;
+use std::net;
 use std::rc;
 use std::time;
 
@@ -100,6 +101,13 @@
         notices::apply(&self.host, (&self.endpoint, self.started_at), notice, answer);
     }
 
+    /// Tells the host that relayed the call, if any, what the endpoint said of itself.
+    pub fn tell_relay(&self, relay: Option<net::SocketAddr>, notice: &notice::Notice) {
+        if let Some(relay) = relay {
+            notices::tell_relay(&self.host, relay, (&self.endpoint, self.started_at), notice);
+        }
+    }
+
     /// Records how the call ended.
     pub fn end(mut self, end: fleet::End) {
         self.finish(end);
@@ -120,6 +128,9 @@
             fleet::End::Cancelled => "dropped",
         };
         self.host.metrics.calls.with_label_values(&[label]).inc();
+        if end == fleet::End::Full {
+            notices::record_full(&self.host, (&self.endpoint, self.started_at));
+        }
         let now = self.host.clock.now();
         let mut facts = self.host.facts.borrow_mut();
         facts.fleet.end(now, &self.endpoint, self.fleet_call, end);
--- a/sequoiacrank-edge/src/notices.rs
+++ b/sequoiacrank-edge/src/notices.rs
@@ -125,6 +125,69 @@
     change.is_some()
 }
 
+/// Records that an endpoint refused a request for lack of room. All hosts are told of it if the
+/// endpoint is brittle.
+pub fn record_full(host: &rc::Rc<host::Host>, instance: notice::Instance<'_>) {
+    let (now, hosts) = (host.clock.now(), host.peers.members().alive().len() + 1);
+    let hearsay = {
+        let notices = &mut host.facts.borrow_mut().fleet.notices;
+        notices.record_full(now, instance, hosts, rand::random())
+    };
+    let Some(hearsay) = hearsay else { return };
+    let (endpoint, born) = instance;
+    log::info!(target: "endpoints", endpoint, born, bound = hearsay.brittle; "brittle and full");
+    let own = host.settings.peer;
+    let heard =
+        limits::Heard { root: Some(own.to_string()), ..limits::Heard::new(instance, hearsay) };
+    forward_heard(host, own, &heard);
+}
+
+/// Tells the host that relayed a request what the endpoint said of itself in its answer.
+pub fn tell_relay(
+    host: &host::Host,
+    relay: net::SocketAddr,
+    instance: notice::Instance<'_>,
+    notice: &notice::Notice,
+) {
+    let notice::Notice { leaving, pause, brittle, .. } = *notice;
+    let hearsay = notice::Hearsay { leaving, pause, brittle };
+    if hearsay != notice::Hearsay::default() {
+        let heard = limits::Heard::new(instance, hearsay);
+        host.peers.send(host, relay, wire::Body::Heard(heard));
+    }
+}
+
+/// Handles what an endpoint said to another host, and forwards it if it is for all.
+pub fn receive_heard(host: &rc::Rc<host::Host>, from: net::SocketAddr, heard: limits::Heard) {
+    let instance = (heard.endpoint.as_str(), heard.born);
+    let (now, hosts) = (host.clock.now(), host.peers.members().alive().len() + 1);
+    let hearsay = notice::Hearsay::from(&heard);
+    let changes = {
+        let notices = &mut host.facts.borrow_mut().fleet.notices;
+        notices.apply_hearsay(now, instance, hearsay, hosts, rand::random())
+    };
+    for &change in &changes {
+        log_change(host, instance, change, &from.to_string(), 0);
+    }
+    if changes.contains(&notice::Change::Leaving) {
+        host.facts.borrow_mut().reshard();
+    }
+    if changes.is_empty() {
+        return;
+    }
+    host.batcher.update(host);
+    if let Some(root) = heard.root.as_ref().and_then(|root| root.parse().ok()) {
+        forward_heard(host, root, &heard);
+    }
+}
+
+/// Sends what an endpoint said to this host's children in the broadcast tree of `root`.
+fn forward_heard(host: &host::Host, root: net::SocketAddr, heard: &limits::Heard) {
+    for other in host.peers.members().children(root) {
+        host.peers.send(host, other, wire::Body::Heard(heard.clone()));
+    }
+}
+
 /// Announces a limit to all hosts, with this host as the root of the broadcast tree.
 fn announce(host: &host::Host, instance: notice::Instance<'_>) {
     let own = host.settings.peer;
--- a/sequoiacrank-edge/src/peer/mod.rs
+++ b/sequoiacrank-edge/src/peer/mod.rs
@@ -326,6 +326,7 @@
         Some(wire::Body::Failed(ticket)) => host.pending_jobs.receive_failed(ticket.ticket),
         Some(wire::Body::Limit(limit)) => notices::receive_limit(host, address, limit),
         Some(wire::Body::Acquire(acquire)) => notices::receive_acquire(host, address, acquire),
+        Some(wire::Body::Heard(heard)) => notices::receive_heard(host, address, heard),
         Some(wire::Body::Granted(granted)) => host.grants.receive_granted(&granted),
         Some(wire::Body::Usage(usage)) => duties::receive_usage(host, sender, &usage),
         Some(wire::Body::Timing(timing)) => duties::receive_timing(host, sender, &timing),
--- a/sequoiacrank-edge/src/peer/wire/mod.rs
+++ b/sequoiacrank-edge/src/peer/wire/mod.rs
@@ -53,7 +53,7 @@
     /// Content of the message.
     #[prost(
         oneof = "Body",
-        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22"
+        tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23"
     )]
     pub body: Option<Body>,
 }
@@ -121,6 +121,9 @@
     /// Asks for a connection to an endpoint. What follows on the connection are its bytes.
     #[prost(message, tag = "22")]
     Relay(Relay),
+    /// What an endpoint said of itself, beside its limit.
+    #[prost(message, tag = "23")]
+    Heard(limits::Heard),
 }
 
 /// Asks for a connection to an endpoint.
--- a/sequoiacrank-edge/src/relay.rs
+++ b/sequoiacrank-edge/src/relay.rs
@@ -44,6 +44,8 @@
 
 /// A connection over a relay.
 pub struct Relayed {
+    /// Address of the relay.
+    pub relay: net::SocketAddr,
     stream: TcpStream,
     /// Bytes of the relay that were not read yet.
     buffer: Box<[u8; BUFFER_BYTES]>,
@@ -74,6 +76,7 @@
         };
         match connect.await {
             Ok((stream, reply::CONNECTED)) => Ok(Relayed {
+                relay,
                 stream,
                 buffer: Box::new([0; BUFFER_BYTES]),
                 unread: 0..0,
--- a/sequoiacrank-kernel/src/edge/fleet.rs
+++ b/sequoiacrank-kernel/src/edge/fleet.rs
@@ -42,6 +42,8 @@
 /// Time within which an endpoint that is new, or whose availability zone is back, reports whether
 /// it is cold.
 const COLD_REPORT_TIME: time::Duration = time::Duration::from_secs(5);
+/// Number of further calls for which a brittle endpoint that served one seems to have room.
+const ROOM_STEP: f64 = 0.25;
 /// A session goes to another endpoint if its own has more calls than twice the mean of all
 /// candidates plus this number.
 const CROWDED_MARGIN: usize = 6;
@@ -97,6 +99,8 @@
     /// Moving average of the time to the first byte of its answers.
     usual_latency: Option<time::Duration>,
     pace: pace::Pace,
+    /// Number of calls of this host that it seems to have room for, since it last refused one.
+    room: Option<f64>,
 }
 
 impl State {
@@ -130,6 +134,13 @@
         }
     }
 
+    /// Whether it has room for one more call of this host, if it may not be asked in vain. `hosts`
+    /// is the number of hosts that share it.
+    fn has_room(&self, hosts: usize) -> bool {
+        let share = f64::from(self.entry.slots) / hosts.max(1) as f64;
+        (self.calls.len() as f64) < self.room.unwrap_or(share).max(1.0)
+    }
+
     /// Order of preference; lower is better, 3 is the last resort.
     fn preference(&self, now: id::Time) -> u8 {
         match () {
@@ -157,6 +168,8 @@
     pub rank: u32,
     /// Whether endpoints with a limit are left out.
     pub unlimited: bool,
+    /// Number of hosts that send requests to the endpoints.
+    pub hosts: usize,
     /// Versions to which it may go; `None` means any.
     pub versions: Option<moves::Filter>,
 }
@@ -205,6 +218,7 @@
                     last_break: None,
                     usual_latency: None,
                     pace: pace::Pace::default(),
+                    room: None,
                 };
                 self.endpoints.insert(entry.id, state);
                 true
@@ -254,7 +268,8 @@
     fn admits(&self, now: id::Time, state: &State, criteria: &Criteria<'_>) -> bool {
         let instance = state.entry.instance();
         let open = self.notices.wait(now, instance, criteria.rank).is_zero();
-        open && !(criteria.unlimited && self.notices.limit(instance).is_some())
+        let has_room = self.notices.brittle(instance).is_none() || state.has_room(criteria.hosts);
+        open && has_room && !(criteria.unlimited && self.notices.limit(instance).is_some())
     }
 
     /// Available endpoints of `service` that still own their address.
@@ -346,6 +361,12 @@
         if state.calls.remove(&call).is_none() {
             return;
         }
+        let in_flight = state.calls.len() as f64;
+        state.room = match end {
+            End::Full => Some((in_flight / 2.0).max(1.0)),
+            End::Good => state.room.map(|room| room + ROOM_STEP),
+            _ => state.room,
+        };
         let failed = match end {
             End::Good | End::Full => 0.0,
             End::Bad | End::Broken | End::Lost | End::Silent | End::Replaced => 1.0,
--- a/sequoiacrank-kernel/src/edge/notice.rs
+++ b/sequoiacrank-kernel/src/edge/notice.rs
@@ -24,6 +24,13 @@
 /// an old copy of it, may take to reappear.
 const RETENTION: time::Duration = time::Duration::from_secs(600);
 
+/// Time for which no host sends requests to a brittle endpoint that has refused one.
+const REFUSAL_PAUSE: time::Duration = time::Duration::from_millis(1100);
+/// Mean time between the returns of two hosts to a brittle endpoint, times its bound.
+const RETURN_INTERVAL: time::Duration = time::Duration::from_millis(1000);
+/// Longest time between a pause and the return of the last host.
+const MAX_RETURN_DELAY: time::Duration = time::Duration::from_secs(4);
+
 /// Number of distinct ranks of requests.
 pub const RANKS: usize = 4;
 
@@ -56,6 +63,9 @@
     pub limit: Limit,
     /// Time for which it wants no requests from this host.
     pub pause: Option<time::Duration>,
+    /// Requests that it can refuse in a second for lack of room, from all hosts together. It falls
+    /// over if it has to refuse more.
+    pub brittle: Option<u32>,
     /// Whether a part of the headers could not be parsed.
     pub unclear: bool,
 }
@@ -79,6 +89,17 @@
     pub at: id::Time,
 }
 
+/// What a host that had an answer of an endpoint tells another one.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Hearsay {
+    /// Whether the endpoint is leaving.
+    pub leaving: bool,
+    /// Time for which it wants no requests.
+    pub pause: Option<time::Duration>,
+    /// Requests that it can refuse in a second for lack of room.
+    pub brittle: Option<u32>,
+}
+
 /// One instance (process) of an endpoint: its id, and its start in milliseconds of its own clock.
 pub type Instance<'a> = (&'a str, u64);
 
@@ -113,6 +134,8 @@
     limit_at: id::Time,
     /// Time until which it wants no requests from this host.
     paused_until: id::Time,
+    /// Requests that it can refuse in a second, and when it said so.
+    brittle: Option<(u32, id::Time)>,
     /// Times until which its limit allows no requests of this host, by rank.
     held_until: [id::Time; RANKS],
     /// When it last sent a notice, or another host reported one.
@@ -120,6 +143,14 @@
 }
 
 impl State {
+    /// Sends it nothing for a time.
+    fn pause(&mut self, now: id::Time, pause: time::Duration) -> Option<Change> {
+        let pause = pause.min(MAX_PAUSE);
+        let is_longer = now + pause > self.paused_until;
+        self.paused_until = self.paused_until.max(now + pause);
+        is_longer.then_some(Change::Paused(pause))
+    }
+
     /// Sets or lifts the limit. Reports arrive out of order, and this one was made between `sent`
     /// and `at`. A new or lower limit counts if it may be later than the known report; a higher
     /// one, or none, only if it surely is.
@@ -151,6 +182,13 @@
     }
 }
 
+/// Time after the end of a pause at which a host returns to a brittle endpoint. One host at a time
+/// finds out whether it has room: until others have heard of a refusal, they may be refused too.
+fn return_delay(hosts: usize, bound: u32, draw: f64) -> time::Duration {
+    let turns = hosts as f64 / f64::from(bound.max(1));
+    RETURN_INTERVAL.mul_f64(turns * draw).min(MAX_RETURN_DELAY)
+}
+
 /// The notices of all endpoints.
 #[derive(Clone, Debug, Default)]
 pub struct Notices {
@@ -197,16 +235,65 @@
             }
             Limit::Unnamed | Limit::Unreadable => None,
         });
-        if let Some(pause) = notice.pause {
-            let pause = pause.min(MAX_PAUSE);
-            if now + pause > state.paused_until {
-                state.paused_until = now + pause;
-                changes.push(Change::Paused(pause));
+        match notice.brittle {
+            Some(bound) => state.brittle = Some((bound, now)),
+            None if answer.accepted && state.brittle.is_some_and(|(_, at)| answer.sent > at) => {
+                state.brittle = None;
             }
+            None => {}
         }
+        changes.extend(notice.pause.and_then(|pause| state.pause(now, pause)));
         changes
     }
 
+    /// Records that an endpoint refused a request of this host for lack of room. If it is brittle,
+    /// returns what to tell the other hosts; `draw` is random and evenly distributed below 1.
+    pub fn record_full(
+        &mut self,
+        now: id::Time,
+        instance: Instance<'_>,
+        hosts: usize,
+        draw: f64,
+    ) -> Option<Hearsay> {
+        let (bound, _) = self.get(instance)?.brittle?;
+        let state = self.entry(now, instance);
+        let pause = REFUSAL_PAUSE + return_delay(hosts, bound, draw);
+        state.pause(now, pause);
+        Some(Hearsay { pause: Some(REFUSAL_PAUSE), brittle: Some(bound), leaving: false })
+    }
+
+    /// Applies what another host was told by an endpoint. Hosts return to a brittle one at
+    /// different times; `hosts` and `draw` are as for [`Self::record_full`]. Returns what changed.
+    pub fn apply_hearsay(
+        &mut self,
+        now: id::Time,
+        instance: Instance<'_>,
+        hearsay: Hearsay,
+        hosts: usize,
+        draw: f64,
+    ) -> Vec<Change> {
+        let state = self.entry(now, instance);
+        let mut changes = Vec::new();
+        if hearsay.leaving && !std::mem::replace(&mut state.leaving, true) {
+            changes.push(Change::Leaving);
+        }
+        let delay = hearsay.brittle.map(|bound| {
+            state.brittle = Some((bound, now));
+            return_delay(hosts, bound, draw)
+        });
+        let pause = hearsay.pause.map(|pause| pause + delay.unwrap_or_default());
+        // Several hosts may be refused at once, and each tells all others.
+        let is_known = now + REFUSAL_PAUSE / 2 < state.paused_until;
+        let pause = pause.filter(|_| !(is_known && delay.is_some()));
+        changes.extend(pause.and_then(|pause| state.pause(now, pause)));
+        changes
+    }
+
+    /// Requests that an endpoint can refuse in a second, if it is brittle.
+    pub fn brittle(&self, instance: Instance<'_>) -> Option<u32> {
+        self.get(instance)?.brittle.map(|(bound, _)| bound)
+    }
+
     /// Merges what another host knows of a limit. Returns what changed.
     pub fn merge(
         &mut self,
