Callers that are out of reach for some seconds keep their connections

Callers that a network partition hid for 2.5 s lost answers that were on their way. Cause: TCP_USER_TIMEOUT of 2.5 s on all sockets, which also ends quiet connections at the first probe behind it. Change: 8 s for callers; connections between hosts, to endpoints and to the store keep 2.5 s, as other connections take their place. Evidence: caller_out_of_reach drops all packets at a caller for 3.4 s in a stream; the answer never ended before, and is whole now.

--- a/sequoiacrank-edge/src/client.rs
+++ b/sequoiacrank-edge/src/client.rs
@@ -28,8 +28,12 @@
 /// Time to connect: several times the round trip between availability zones, and well below the
 /// shortest target latency of a request.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(250);
-/// Time without an acknowledgement after which the operating system closes a connection.
+/// Time without an acknowledgement after which the operating system closes a connection. It also
+/// decides when probes of a quiet connection give up, whatever their number.
 const ACK_TIMEOUT: time::Duration = time::Duration::from_millis(2500);
+/// The same for callers, which may be out of reach for some seconds and have no other connection on
+/// which their answer could come.
+const CALLER_ACK_TIMEOUT: time::Duration = time::Duration::from_secs(8);
 /// Maximum number of idle connections to one address.
 const MAX_IDLE: usize = 8;
 /// An idle connection is reused only within the server's keep-alive time divided by this. The rest
@@ -87,9 +91,14 @@
 ///
 /// When the system rejects an option.
 pub fn configure_socket(stream: &TcpStream) -> io::Result<()> {
+    bound_silence(stream, ACK_TIMEOUT)
+}
+
+/// Closes a connection whose other side acknowledges nothing for `timeout`.
+fn bound_silence(stream: &TcpStream, timeout: time::Duration) -> io::Result<()> {
     let socket = socket2::SockRef::from(stream);
     socket.set_tcp_nodelay(true)?;
-    socket.set_tcp_user_timeout(Some(ACK_TIMEOUT))?;
+    socket.set_tcp_user_timeout(Some(timeout))?;
     let probes = socket2::TcpKeepalive::new()
         .with_time(time::Duration::from_secs(1))
         .with_interval(time::Duration::from_secs(1))
@@ -108,7 +117,7 @@
 ///
 /// When the system refuses one.
 pub fn configure_caller(stream: &TcpStream) -> io::Result<()> {
-    configure_socket(stream)?;
+    bound_silence(stream, CALLER_ACK_TIMEOUT)?;
     // Not every system has this option. Without it, slow callers are closed sooner under pressure.
     if let Err(err) = socket2::SockRef::from(stream).set_tcp_notsent_lowat(MAX_UNSENT) {
         log::debug!(target: "front", err = err.to_string().as_str(); "unsent bytes not bounded");
