Answers without an end are bounded before their head is complete

A faulty endpoint sent interim answers without end; the host read 988 MB of them on one connection until the request timed out, and served nobody else meanwhile as fast as it could. Heads, extensions of chunks, trailers and bytes that are no answer were bounded by the HTTP library already, as new tests show. Change: 256 KiB may be read of an endpoint until the head of its answer is complete. Evidence: endless_interim_answers fails on the code before with bytes on a connection.

--- a/sequoiacrank-edge/src/client.rs
+++ b/sequoiacrank-edge/src/client.rs
@@ -45,6 +45,9 @@
 /// The HTTP library holds up to three such buffers for an endpoint that sends without pause. With
 /// 64 KiB, 100 endless answers took 15 MB beside their bodies.
 const MAX_BUFFER_BYTES: usize = 32 << 10;
+/// Bytes that may be read until the head of an answer is complete, interim answers included, of
+/// which the HTTP library takes any number.
+const MAX_HEAD_BYTES: usize = 256 << 10;
 
 quick_error! {
     /// Why a call has no answer.
@@ -163,11 +166,12 @@
     kept: bool,
     /// Host that relays it.
     relay: Option<net::SocketAddr>,
+    allowance: dial::Allowance,
 }
 
 impl Connection {
     async fn start(address: net::SocketAddr, stream: dial::Stream) -> Result<Connection, Error> {
-        let relay = stream.relay();
+        let (relay, allowance) = (stream.relay(), stream.allowance());
         let (sender, connection) = http1::Builder::new()
             .max_buf_size(MAX_BUFFER_BYTES)
             .handshake(rt::TokioIo::new(stream))
@@ -177,7 +181,7 @@
             let _ = connection.await;
         });
         let task = AbortOnDrop(task);
-        Ok(Connection { address, sender, _task: task, used: false, kept: false, relay })
+        Ok(Connection { address, sender, _task: task, used: false, kept: false, relay, allowance })
     }
 
     /// Sends a request and waits for the head of its answer.
@@ -195,7 +199,11 @@
             host.insert(address.expect("an address is plain text"));
         }
         let request = request.map(blocks::Unwritten::from);
-        match self.sender.try_send_request(request).await {
+        self.allowance.set(MAX_HEAD_BYTES);
+        let answer = self.sender.try_send_request(request).await;
+        // Whoever reads the body bounds it.
+        self.allowance.set(usize::MAX);
+        match answer {
             Ok(answer) => Ok(answer),
             Err(mut err) => match err.take_message() {
                 Some(_) => Err(Error::Connect(io::ErrorKind::NotConnected.into())),
--- a/sequoiacrank-edge/src/dial.rs
+++ b/sequoiacrank-edge/src/dial.rs
@@ -29,26 +29,44 @@
 /// Time between two checks of whether a probe is due.
 const PROBE_CHECK: time::Duration = time::Duration::from_millis(50);
 
-/// A connection to an endpoint.
-pub enum Stream {
+/// The two ways of a connection.
+enum Kind {
     /// From this host.
     Direct(TcpStream),
     /// Over another host.
     Relayed(relay::Relayed),
 }
 
+/// Number of bytes that may still be read from a connection.
+pub type Allowance = rc::Rc<cell::Cell<usize>>;
+
+/// A connection to an endpoint.
+pub struct Stream {
+    kind: Kind,
+    allowance: Allowance,
+}
+
 impl Stream {
+    fn new(kind: Kind) -> Self {
+        Stream { kind, allowance: rc::Rc::new(cell::Cell::new(usize::MAX)) }
+    }
+
+    /// Number of bytes that may still be read. Reading more fails.
+    pub fn allowance(&self) -> Allowance {
+        self.allowance.clone()
+    }
+
     /// Host that relays it, if any.
     pub fn relay(&self) -> Option<net::SocketAddr> {
-        match self {
-            Stream::Direct(_) => None,
-            Stream::Relayed(stream) => Some(stream.relay),
+        match &self.kind {
+            Kind::Direct(_) => None,
+            Kind::Relayed(stream) => Some(stream.relay),
         }
     }
 }
 
 /// The way of an attempt, and what came of it.
-type Outcome = (links::Way, Result<Stream, links::Failure>);
+type Outcome = (links::Way, Result<Kind, links::Failure>);
 
 /// Opens connections.
 pub struct Dialer {
@@ -154,7 +172,7 @@
         let stream = tokio::time::timeout(timeout, connect).await;
         let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         client::configure_socket(&stream)?;
-        Ok(Stream::Direct(stream))
+        Ok(Stream::new(Kind::Direct(stream)))
     }
 
     /// Connects to an endpoint within `timeout`, whichever way.
@@ -198,7 +216,7 @@
             match outcome {
                 Ok((way, Ok(stream))) => {
                     self.record_reached(now, address, way, tried_direct);
-                    return Ok(stream);
+                    return Ok(Stream::new(stream));
                 }
                 Ok((way, Err(failure))) => {
                     self.links.borrow_mut().record_failed(now, address, way, failure);
@@ -251,7 +269,7 @@
                         let from = own.to_string();
                         let frame = wire::Frame { from, process, body: Some(body) };
                         let relayed = relay::Relayed::open(host, &frame).await;
-                        relayed.map(Stream::Relayed)
+                        relayed.map(Kind::Relayed)
                     }
                 }
             };
@@ -267,10 +285,10 @@
 async fn connect_directly(
     source: Option<net::IpAddr>,
     address: net::SocketAddr,
-) -> Result<Stream, links::Failure> {
+) -> Result<Kind, links::Failure> {
     let result = client::connect_from(source, address).await;
     match result.and_then(|stream| client::configure_socket(&stream).map(|()| stream)) {
-        Ok(stream) => Ok(Stream::Direct(stream)),
+        Ok(stream) => Ok(Kind::Direct(stream)),
         Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => Err(links::Failure::Refused),
         Err(_) => Err(links::Failure::Unreached),
     }
@@ -308,10 +326,18 @@
         context: &mut task::Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
-        match self.get_mut() {
-            Stream::Direct(stream) => pin::Pin::new(stream).poll_read(context, buffer),
-            Stream::Relayed(stream) => pin::Pin::new(stream).poll_read(context, buffer),
+        let stream = self.get_mut();
+        if stream.allowance.get() == 0 {
+            return task::Poll::Ready(Err(io::ErrorKind::InvalidData.into()));
         }
+        let before = buffer.filled().len();
+        let result = match &mut stream.kind {
+            Kind::Direct(stream) => pin::Pin::new(stream).poll_read(context, buffer),
+            Kind::Relayed(stream) => pin::Pin::new(stream).poll_read(context, buffer),
+        };
+        let read = buffer.filled().len() - before;
+        stream.allowance.set(stream.allowance.get().saturating_sub(read));
+        result
     }
 }
 
@@ -321,9 +347,9 @@
         context: &mut task::Context<'_>,
         bytes: &[u8],
     ) -> task::Poll<io::Result<usize>> {
-        match self.get_mut() {
-            Stream::Direct(stream) => pin::Pin::new(stream).poll_write(context, bytes),
-            Stream::Relayed(stream) => pin::Pin::new(stream).poll_write(context, bytes),
+        match &mut self.get_mut().kind {
+            Kind::Direct(stream) => pin::Pin::new(stream).poll_write(context, bytes),
+            Kind::Relayed(stream) => pin::Pin::new(stream).poll_write(context, bytes),
         }
     }
 
@@ -331,9 +357,9 @@
         self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
-        match self.get_mut() {
-            Stream::Direct(stream) => pin::Pin::new(stream).poll_flush(context),
-            Stream::Relayed(stream) => pin::Pin::new(stream).poll_flush(context),
+        match &mut self.get_mut().kind {
+            Kind::Direct(stream) => pin::Pin::new(stream).poll_flush(context),
+            Kind::Relayed(stream) => pin::Pin::new(stream).poll_flush(context),
         }
     }
 
@@ -341,9 +367,9 @@
         self: pin::Pin<&mut Self>,
         context: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<()>> {
-        match self.get_mut() {
-            Stream::Direct(stream) => pin::Pin::new(stream).poll_shutdown(context),
-            Stream::Relayed(stream) => pin::Pin::new(stream).poll_shutdown(context),
+        match &mut self.get_mut().kind {
+            Kind::Direct(stream) => pin::Pin::new(stream).poll_shutdown(context),
+            Kind::Relayed(stream) => pin::Pin::new(stream).poll_shutdown(context),
         }
     }
 }
