An answer that ends as its endpoint exits is not taken for whole

Cause: an answer without a length ends with its connection, and the probe for a crash left out endpoints that were leaving, in an availability zone out of service, or without an entry. Change: the address of the call is probed whatever became of the entry. Evidence: exit_of_leaving_endpoint fails on the code before with a complete answer, and passes.

--- a/sequoiacrank-edge/src/exchange/mod.rs
+++ b/sequoiacrank-edge/src/exchange/mod.rs
@@ -328,7 +328,7 @@
                 return self.refuse(refusal::Refusal::new(code));
             }
         };
-        if !decoded.framed && self.has_crashed(&call.endpoint).await {
+        if !decoded.framed && self.has_crashed(&call).await {
             self.record_broken(&call.endpoint);
             call.end(fleet::End::Broken);
             return self.refuse(refusal::Refusal::new(code::Code::OutcomeLost));
--- a/sequoiacrank-edge/src/exchange/suspect.rs
+++ b/sequoiacrank-edge/src/exchange/suspect.rs
@@ -11,6 +11,7 @@
 use crate::dial;
 use crate::exchange;
 use crate::host;
+use crate::in_flight;
 
 /// Time to wait for a connection that shows whether an endpoint is down.
 const PROBE_TIMEOUT: time::Duration = time::Duration::from_millis(250);
@@ -84,16 +85,10 @@
         });
     }
 
-    /// Whether the endpoint of an answer that ended with its connection has crashed, which looks
-    /// the same as the end of such an answer. An endpoint that leaves may end behind its last
-    /// answer.
-    pub async fn has_crashed(&self, endpoint: &str) -> bool {
-        let address = {
-            let facts = self.host.facts.borrow();
-            let entry = facts.fleet.usable().find(|it| it.id == endpoint);
-            entry.map(|it| it.address)
-        };
-        match address {
+    /// Whether the endpoint of an answer that ended with its connection has ended as well, planned
+    /// or not: that may have cut the answer, and looks the same as its end.
+    pub async fn has_crashed(&self, call: &in_flight::Call) -> bool {
+        match call.address {
             Some(address) => is_down(&self.host.pool.dialer, address).await,
             None => false,
         }
--- a/sequoiacrank-edge/src/in_flight.rs
+++ b/sequoiacrank-edge/src/in_flight.rs
@@ -5,6 +5,7 @@
 use std::rc;
 use std::time;
 
+use sequoiacrank_kernel::edge::endpoint;
 use sequoiacrank_kernel::edge::fleet;
 use sequoiacrank_kernel::edge::notice;
 use sequoiacrank_kernel::id;
@@ -23,6 +24,8 @@
     host: rc::Rc<host::Host>,
     /// The endpoint.
     pub endpoint: id::EndpointId,
+    /// Its address.
+    pub address: Option<net::SocketAddr>,
     /// When the chosen endpoint started, by its own clock.
     started_at: u64,
     fleet_call: fleet::Call,
@@ -45,13 +48,15 @@
     /// Starts a call and counts it as in flight.
     pub fn begin(host: &rc::Rc<host::Host>, endpoint: &str) -> Self {
         let began = host.clock.now();
-        let started_at =
-            host.facts.borrow().fleet.get(endpoint).map_or(0, |entry| entry.started_at);
+        let known = |entry: &endpoint::Endpoint| (entry.address, entry.started_at);
+        let (address, started_at) = host.facts.borrow().fleet.get(endpoint).map(known).unzip();
+        let started_at = started_at.unwrap_or(0);
         let fleet_call = host.facts.borrow_mut().fleet.begin(began, endpoint);
         let (host, endpoint) = (host.clone(), endpoint.to_owned());
         Call {
             host,
             endpoint,
+            address,
             started_at,
             fleet_call,
             began,
--- a/sequoiacrank-edge/src/stream.rs
+++ b/sequoiacrank-edge/src/stream.rs
@@ -253,7 +253,7 @@
             Some(None) => {
                 let fault = match events.end_fault(upstream.decoded.framed) {
                     None if !upstream.decoded.framed => {
-                        let has_crashed = exchange.has_crashed(&upstream.call.endpoint).await;
+                        let has_crashed = exchange.has_crashed(&upstream.call).await;
                         has_crashed.then_some("ended in a crash")
                     }
                     fault => fault,
