Bodies that stall give way to new connections

Cause: places came free only for idle connections, and stalled bodies were given up only for memory. Change: where all places are taken and no connection is idle, the body that has stalled longest is answered 408 and its connection makes room.

--- a/sequoiacrank-edge/src/memory/listener.rs
+++ b/sequoiacrank-edge/src/memory/listener.rs
@@ -74,6 +74,11 @@
         self.entries.borrow().len()
     }
 
+    /// Whether a connection may be closed for a new one.
+    fn has_idle(&self) -> bool {
+        self.entries.borrow().values().any(|it| (it.idle_since)().is_some())
+    }
+
     /// Tells the connection that is idle longest to close. Returns whether there is one.
     fn close_idle(&self) -> bool {
         let mut entries = self.entries.borrow_mut();
@@ -151,6 +156,15 @@
             return None;
         }
     }
+    Some(take_place(memory, listener, idle_since))
+}
+
+fn take_place(
+    memory: &rc::Rc<memory::Memory>,
+    listener: fn(&memory::Memory) -> &Listener,
+    idle_since: IdleSince,
+) -> Place {
+    let list = listener(memory);
     let id = list.next.get();
     list.next.set(id + 1);
     let (close, is_given_up) = (rc::Rc::new(Notify::new()), rc::Rc::default());
@@ -161,7 +175,7 @@
         close: close.clone(),
     };
     list.entries.borrow_mut().insert(id, entry);
-    Some(Place { memory: memory.clone(), listener, id, close, is_given_up, charge: None })
+    Place { memory: memory.clone(), listener, id, close, is_given_up, charge: None }
 }
 
 /// Takes a place for a new connection of a caller, which is also charged for its buffers.
@@ -170,7 +184,13 @@
     idle_since: IdleSince,
     blocked_since: BlockedSince,
 ) -> Option<Place> {
-    let place = admit(memory, |memory| &memory.callers, memory.max_callers(), idle_since);
+    let listener: fn(&memory::Memory) -> &Listener = |memory| &memory.callers;
+    let is_full = memory.callers.open() >= memory.max_callers();
+    let place = match is_full && !memory.callers.has_idle() && memory.evict_stalled() {
+        // The connection of the body that is given up closes soon.
+        true => Some(take_place(memory, listener, idle_since)),
+        false => admit(memory, listener, memory.max_callers(), idle_since),
+    };
     let Some(mut place) = place else {
         // Blocked connections may hold all of the budget, so that none is admitted any more.
         memory.close_blocked();
--- a/sequoiacrank-edge/src/memory/mod.rs
+++ b/sequoiacrank-edge/src/memory/mod.rs
@@ -111,6 +111,14 @@
         }
     }
 
+    /// Gives up the body that has stalled longest, which closes its connection. Returns whether there
+    /// is one.
+    fn evict_stalled(&self) -> bool {
+        let stalled = self.account.borrow_mut().evict_stalled(self.clock.now());
+        self.evict(stalled.as_slice());
+        stalled.is_some()
+    }
+
     fn evict(&self, holders: &[account::HolderId]) {
         let evictions = self.evictions.borrow();
         for evicted in holders.iter().filter_map(|id| evictions.get(id)) {
--- a/sequoiacrank-kernel/src/edge/memory.rs
+++ b/sequoiacrank-kernel/src/edge/memory.rs
@@ -323,6 +323,19 @@
         }
     }
 
+    /// Marks the body of a request that has stalled longest as evicted, to make room for another
+    /// connection.
+    pub fn evict_stalled(&mut self, now: id::Time) -> Option<HolderId> {
+        let is_body = |id: &HolderId| {
+            let class = self.holders.get(id).map(|holder| holder.class);
+            matches!(class, Some(Class::Small | Class::Request))
+        };
+        let stalled = self.stallable.iter().take_while(|(at, _)| *at + STALL_TIME <= now);
+        let id = stalled.map(|(_, id)| *id).find(is_body)?;
+        self.update(id, |holder| holder.evicted = true);
+        Some(id)
+    }
+
     /// Marks stalled holders as evicted, longest without progress first, until `bytes` will be
     /// released by them and by those evicted before.
     fn evict(&mut self, now: id::Time, bytes: usize) -> Vec<HolderId> {
