--- a/sequoiacrank-edge/src/dial.rs
+++ b/sequoiacrank-edge/src/dial.rs
@@ -17,10 +17,10 @@
 use tokio::sync::Notify;
 use tokio::task::JoinSet;
 
-use crate::client;
 use crate::clock;
 use crate::peer::wire;
 use crate::relay;
+use crate::socket;
 
 /// Time within which an endpoint has to be reached for another host.
 const RELAY_TIMEOUT: time::Duration = time::Duration::from_millis(120);
@@ -118,7 +118,7 @@
         &self,
         address: net::SocketAddr,
     ) -> Result<TcpStream, links::Failure> {
-        let connect = client::connect_from(self.source, address);
+        let connect = socket::connect_from(self.source, address);
         let failure = match tokio::time::timeout(RELAY_TIMEOUT, connect).await {
             Ok(Ok(stream)) => return Ok(stream),
             Ok(Err(err)) if err.kind() == io::ErrorKind::ConnectionRefused => {
@@ -168,10 +168,10 @@
         address: net::SocketAddr,
         timeout: time::Duration,
     ) -> io::Result<Stream> {
-        let connect = client::connect_from(self.source, address);
+        let connect = socket::connect_from(self.source, address);
         let stream = tokio::time::timeout(timeout, connect).await;
         let stream = stream.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
-        client::configure_socket(&stream)?;
+        socket::configure_socket(&stream)?;
         Ok(Stream::new(Kind::Direct(stream)))
     }
 
@@ -286,8 +286,8 @@
     source: Option<net::IpAddr>,
     address: net::SocketAddr,
 ) -> Result<Kind, links::Failure> {
-    let result = client::connect_from(source, address).await;
-    match result.and_then(|stream| client::configure_socket(&stream).map(|()| stream)) {
+    let result = socket::connect_from(source, address).await;
+    match result.and_then(|stream| socket::configure_socket(&stream).map(|()| stream)) {
         Ok(stream) => Ok(Kind::Direct(stream)),
         Err(err) if err.kind() == io::ErrorKind::ConnectionRefused => Err(links::Failure::Refused),
         Err(_) => Err(links::Failure::Unreached),
--- a/sequoiacrank-edge/src/front.rs
+++ b/sequoiacrank-edge/src/front.rs
@@ -17,12 +17,12 @@
 use tokio::task;
 
 use crate::body::Body;
-use crate::client;
 use crate::exchange;
 use crate::host;
 use crate::idle;
 use crate::memory;
 use crate::memory::listener;
+use crate::socket;
 use crate::stop;
 
 /// Limits on callers until a configuration sets them.
@@ -80,7 +80,7 @@
 }
 
 async fn serve(host: rc::Rc<host::Host>, stream: TcpStream) {
-    if let Err(err) = client::configure_caller(&stream) {
+    if let Err(err) = socket::configure_caller(&stream) {
         log::info!(target: "front", err = err.to_string().as_str(); "setting socket options failed");
         return;
     }
@@ -168,7 +168,7 @@
 {
     loop {
         let stream = accept(&listener).await;
-        if let Err(err) = client::configure_socket(&stream) {
+        if let Err(err) = socket::configure_socket(&stream) {
             log::info!(target: "front", err = err.to_string().as_str(); "setting socket options failed");
             continue;
         }
--- a/sequoiacrank-edge/src/lib.rs
+++ b/sequoiacrank-edge/src/lib.rs
@@ -26,6 +26,7 @@
 mod peer;
 mod refusal;
 mod relay;
+mod socket;
 mod stages;
 mod stop;
 mod store;
--- a/sequoiacrank-edge/src/peer/link.rs
+++ b/sequoiacrank-edge/src/peer/link.rs
@@ -14,8 +14,8 @@
 use tokio::sync::mpsc;
 use tokio::task;
 
-use crate::client;
 use crate::peer::wire;
+use crate::socket;
 
 /// Time within which a connection has to be established: several round trips between availability
 /// zones. A host without power never answers.
@@ -83,7 +83,7 @@
     first: wire::Frame,
     frames: &mut mpsc::UnboundedReceiver<wire::Frame>,
 ) -> std::io::Result<()> {
-    client::configure_socket(&stream)?;
+    socket::configure_socket(&stream)?;
     let (mut reader, mut writer) = stream.split();
     let mut buffer = BytesMut::new();
     let mut byte = [0];
--- a/sequoiacrank-edge/src/peer/reader.rs
+++ b/sequoiacrank-edge/src/peer/reader.rs
@@ -15,7 +15,6 @@
 use tokio::net::TcpStream;
 use tokio::task;
 
-use crate::client;
 use crate::host;
 use crate::memory;
 use crate::memory::listener;
@@ -23,6 +22,7 @@
 use crate::peer;
 use crate::peer::wire;
 use crate::relay;
+use crate::socket;
 use crate::stop;
 
 /// Pause after a connection could not be accepted.
@@ -224,7 +224,7 @@
 ) -> Result<Option<RelayRequest>, Error> {
     let lease = host.memory.lease(account::Class::Message);
     let mut buffer = Buffer { bytes: BytesMut::new(), held: 0, lease };
-    if let Err(err) = client::configure_socket(stream) {
+    if let Err(err) = socket::configure_socket(stream) {
         log::info!(target: "hosts", err = err.to_string().as_str(); "setting socket options failed");
         return Ok(None);
     }
--- a/sequoiacrank-edge/src/relay.rs
+++ b/sequoiacrank-edge/src/relay.rs
@@ -17,9 +17,9 @@
 use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
-use crate::client;
 use crate::dial;
 use crate::peer::wire;
+use crate::socket;
 
 /// Maximum number of connections that a host relays. Each takes two descriptors and its buffers.
 pub const MAX_RELAYED: usize = 400;
@@ -67,7 +67,7 @@
     ) -> Result<Relayed, links::Failure> {
         let connect = async {
             let mut stream = TcpStream::connect(relay).await?;
-            client::configure_socket(&stream)?;
+            socket::configure_socket(&stream)?;
             let mut frame = BytesMut::new();
             wire::encode(request, &mut frame);
             stream.write_all(&frame).await?;
@@ -197,7 +197,7 @@
             return stream.write_all(&[reply::UNREACHED]).await;
         }
     };
-    client::configure_socket(&target)?;
+    socket::configure_socket(&target)?;
     stream.write_all(&[reply::CONNECTED]).await?;
     let (mut from_host, mut to_host) = stream.split();
     let (mut from_endpoint, mut to_endpoint) = target.split();
